--- /dev/null
+++ b/crates/geraniumgauge/src/document/catalog.rs
@@ -0,0 +1,109 @@
+//! What is in force on this VM: accepted documents and layouts by service.
+
+use std::collections;
+use std::sync;
+
+use crate::document;
+use crate::ids;
+use crate::layout;
+
+/// What holds for one service right now.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// Generation of the accepted document.
+    pub generation: ids::Generation,
+    /// The accepted document.
+    pub document: sync::Arc<document::Document>,
+    /// The service's layout.
+    pub layout: layout::Shared,
+}
+
+/// Documents and layouts in force; clones share one state. Generations and
+/// layout versions only grow: an older one, from a lagging peer or a store
+/// restored to an earlier state, changes nothing.
+#[derive(Debug, Clone, Default)]
+pub struct Catalog {
+    services: sync::Arc<sync::RwLock<Services>>,
+}
+
+type Services = collections::BTreeMap<ids::Service, Parts>;
+
+#[derive(Debug, Default)]
+struct Parts {
+    document: Option<(ids::Generation, sync::Arc<document::Document>)>,
+    layout: Option<layout::Shared>,
+}
+
+impl Parts {
+    fn in_force(&self) -> Option<InForce> {
+        let (generation, document) = self.document.clone()?;
+        let layout = self.layout.clone()?;
+        Some(InForce {
+            generation,
+            document,
+            layout,
+        })
+    }
+}
+
+impl Catalog {
+    /// What is in force for `service`; `None` until both its document and its
+    /// layout are known.
+    pub fn get(&self, service: &ids::Service) -> Option<InForce> {
+        self.read().get(service)?.in_force()
+    }
+
+    /// Every service that has both a document and a layout.
+    pub fn all(&self) -> Vec<(ids::Service, InForce)> {
+        let services = self.read();
+        let known = services
+            .iter()
+            .filter_map(|(id, parts)| Some((id.clone(), parts.in_force()?)));
+        known.collect()
+    }
+
+    /// Puts a document in force where its generation is higher than the present one.
+    pub fn put_document(
+        &self,
+        service: &ids::Service,
+        generation: ids::Generation,
+        document: document::Document,
+    ) -> bool {
+        let mut services = self.write();
+        let parts = services.entry(service.clone()).or_default();
+        let newer = parts
+            .document
+            .as_ref()
+            .is_none_or(|(present, _)| *present < generation);
+        if newer {
+            parts.document = Some((generation, sync::Arc::new(document)));
+        }
+        newer
+    }
+
+    /// Puts a layout in force where its version is higher than the present one.
+    pub fn put_layout(&self, service: &ids::Service, layout: layout::Layout) -> bool {
+        let mut services = self.write();
+        let parts = services.entry(service.clone()).or_default();
+        let newer = parts
+            .layout
+            .as_ref()
+            .is_none_or(|present| present.version < layout.version);
+        if newer {
+            parts.layout = Some(sync::Arc::new(layout));
+        }
+        newer
+    }
+
+    fn read(&self) -> sync::RwLockReadGuard<'_, Services> {
+        self.services
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn write(&self) -> sync::RwLockWriteGuard<'_, Services> {
+        self.services
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/document/schema.rs
@@ -0,0 +1,192 @@
+//! The values of a service document, with the defaults of a new service.
+
+use std::time;
+
+use crate::ids;
+use crate::rate;
+
+/// What the team asks of its service. Values are within their ranges once a
+/// document is accepted.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct Document {
+    /// The team that owns the service.
+    pub team: ids::Team,
+    /// What counts more once time gets short.
+    pub objective: Objective,
+    /// Deadline of a request that names none.
+    #[serde(rename = "deadline_ms", with = "millis")]
+    pub deadline: time::Duration,
+    /// Longest deadline a caller may ask for.
+    #[serde(rename = "max_deadline_ms", with = "millis")]
+    pub max_deadline: time::Duration,
+    /// When [`Objective::Latency`] answers with what it has.
+    #[serde(rename = "latency_target_ms", with = "millis")]
+    pub latency_target: time::Duration,
+    /// Least share of shards covered for an answer at the latency target.
+    pub min_coverage: rate::Share,
+    /// What extra load on upstreams may cost.
+    pub budgets: Budgets,
+    /// What one VM admits and how wide fan-outs are guarded.
+    pub limits: Limits,
+    /// Objectives of the burn report.
+    pub slo: Slo,
+    /// How long a registration's claim and outcome are kept.
+    #[serde(rename = "ledger_window_s", with = "seconds")]
+    pub ledger_window: time::Duration,
+    /// Ends the service: requests are refused with 404.
+    pub retired: bool,
+}
+
+/// What an answer gives up last.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize,
+    derive_more::Display,
+    derive_more::FromStr,
+)]
+#[serde(rename_all = "lowercase")]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum Objective {
+    /// Wait for missing shards until the deadline.
+    #[default]
+    Coverage,
+    /// Answer at the latency target once `min_coverage` holds.
+    Latency,
+}
+
+/// Shares of first attempts that may be spent on extra ones.
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct Budgets {
+    /// Hedges a first attempt.
+    pub hedge: rate::Share,
+    /// Retries a first attempt.
+    pub retry: rate::Share,
+    /// Quantile of shard call times after which a call is hedged.
+    pub hedge_quantile: rate::Share,
+}
+
+/// Limits on one VM.
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Searches of the service that run at once at one entry.
+    pub searches: u32,
+    /// Registrations of the service that run at once at one entry.
+    pub registrations: u32,
+    /// Fan-outs of at least this many shards start with a canary.
+    pub canary_width: u32,
+}
+
+/// Objectives of the burn report, as shares of requests.
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct Slo {
+    /// Answered within the deadline.
+    pub in_time: rate::Share,
+    /// Answered with every shard covered.
+    pub complete: rate::Share,
+    /// Not refused.
+    pub accepted: rate::Share,
+    /// Shard calls that were first attempts.
+    pub first_attempts: rate::Share,
+}
+
+impl Default for Document {
+    fn default() -> Self {
+        Self {
+            team: DEFAULT_TEAM.clone(),
+            objective: Objective::default(),
+            deadline: time::Duration::from_millis(1000),
+            max_deadline: time::Duration::from_secs(10),
+            latency_target: time::Duration::from_millis(240),
+            min_coverage: rate::Share::percent(95),
+            budgets: Budgets::default(),
+            limits: Limits::default(),
+            slo: Slo::default(),
+            ledger_window: time::Duration::from_secs(24 * 3600),
+            retired: false,
+        }
+    }
+}
+
+static DEFAULT_TEAM: std::sync::LazyLock<ids::Team> = std::sync::LazyLock::new(|| {
+    #[expect(
+        clippy::expect_used,
+        reason = "the text is a constant that its test reads"
+    )]
+    "unnamed".parse().expect("a valid team name")
+});
+
+impl Default for Budgets {
+    fn default() -> Self {
+        Self {
+            hedge: rate::Share::percent(5),
+            retry: rate::Share::percent(5),
+            hedge_quantile: rate::Share::percent(95),
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            searches: 256,
+            registrations: 128,
+            canary_width: 8,
+        }
+    }
+}
+
+impl Default for Slo {
+    fn default() -> Self {
+        Self {
+            in_time: rate::Share::percent(99),
+            complete: rate::Share::percent(99),
+            accepted: rate::Share::percent(99),
+            first_attempts: rate::Share::percent(90),
+        }
+    }
+}
+
+mod millis {
+    use std::time;
+
+    pub(super) fn serialize<S: serde::Serializer>(
+        span: &time::Duration,
+        out: S,
+    ) -> Result<S::Ok, S::Error> {
+        out.serialize_u64(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    pub(super) fn deserialize<'de, D: serde::Deserializer<'de>>(
+        input: D,
+    ) -> Result<time::Duration, D::Error> {
+        <u64 as serde::Deserialize>::deserialize(input).map(time::Duration::from_millis)
+    }
+}
+
+mod seconds {
+    use std::time;
+
+    pub(super) fn serialize<S: serde::Serializer>(
+        span: &time::Duration,
+        out: S,
+    ) -> Result<S::Ok, S::Error> {
+        out.serialize_u64(span.as_secs())
+    }
+
+    pub(super) fn deserialize<'de, D: serde::Deserializer<'de>>(
+        input: D,
+    ) -> Result<time::Duration, D::Error> {
+        <u64 as serde::Deserialize>::deserialize(input).map(time::Duration::from_secs)
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/home/mod.rs
@@ -0,0 +1,1 @@
+//! Homes: the VMs that hold the connections to an upstream.
--- /dev/null
+++ b/crates/geraniumgauge/src/ids.rs
@@ -0,0 +1,209 @@
+//! Identifiers as distinct types, so that one kind can't be passed for another.
+//!
+//! Text identifiers are limited to [`MAX_LEN`] bytes of `[A-Za-z0-9._:-]`: they
+//! become parts of store keys, URLs and log lines.
+
+use std::fmt;
+use std::str;
+use std::sync;
+
+/// Longest text identifier, in bytes.
+pub const MAX_LEN: usize = 128;
+
+/// Why a text is no identifier.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Error {
+    /// The text is empty.
+    #[display("{kind} is empty; give 1 to {MAX_LEN} characters")]
+    Empty {
+        /// Which kind of identifier was read.
+        kind: &'static str,
+    },
+    /// The text is longer than [`MAX_LEN`] bytes.
+    #[display("{kind} has {len} bytes; give at most {MAX_LEN}")]
+    Long {
+        /// Which kind of identifier was read.
+        kind: &'static str,
+        /// The length found, in bytes.
+        len: usize,
+    },
+    /// A character outside the allowed set.
+    #[display("{kind} holds {found:?} at byte {at}; use letters, digits and . _ : -")]
+    Character {
+        /// Which kind of identifier was read.
+        kind: &'static str,
+        /// The first character that is not allowed.
+        found: char,
+        /// Its byte offset.
+        at: usize,
+    },
+    /// A numeric identifier that is no number.
+    #[display("{kind} {text:?} is no whole number from 0 to 18446744073709551615")]
+    Number {
+        /// Which kind of identifier was read.
+        kind: &'static str,
+        /// The text found.
+        text: String,
+    },
+}
+
+fn check(kind: &'static str, text: &str) -> Result<(), Error> {
+    if text.is_empty() {
+        return Err(Error::Empty { kind });
+    }
+    if text.len() > MAX_LEN {
+        return Err(Error::Long {
+            kind,
+            len: text.len(),
+        });
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | ':' | '-');
+    match text.char_indices().find(|(_, c)| !allowed(*c)) {
+        Some((at, found)) => Err(Error::Character { kind, found, at }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Serialize, serde::Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(sync::Arc<str>);
+
+        impl $name {
+            /// The identifier's text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+                out.write_str(&self.0)
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = Error;
+            fn from_str(text: &str) -> Result<Self, Error> {
+                check($kind, text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+            fn try_from(text: String) -> Result<Self, Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> Self {
+                id.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl str::FromStr for $name {
+            type Err = Error;
+            fn from_str(text: &str) -> Result<Self, Error> {
+                let number = text.parse();
+                number.map(Self).map_err(|_| Error::Number { kind: $kind, text: text.to_owned() })
+            }
+        }
+    };
+}
+
+text_id!(
+    /// A service: one team's search offer over one set of shards.
+    Service, "service"
+);
+text_id!(
+    /// A team: the owner of services and of their documents.
+    Team, "team"
+);
+text_id!(
+    /// One shard of a service's indexes.
+    Shard, "shard"
+);
+text_id!(
+    /// An upstream server process, which holds one replica of one or more shards.
+    Upstream, "upstream"
+);
+text_id!(
+    /// One of our VMs. A name is used by one running process at a time; its
+    /// [`Incarnation`] tells starts apart.
+    Vm, "vm"
+);
+text_id!(
+    /// A data centre, of ours or of an upstream.
+    DataCentre, "data centre"
+);
+text_id!(
+    /// A request as the caller sees it, unique per attempt of the caller.
+    Request, "request id"
+);
+text_id!(
+    /// The caller's `Idempotency-Key` of a registration.
+    Key, "idempotency key"
+);
+
+number_id!(
+    /// One call to one upstream on behalf of one request. Unique within the VM
+    /// that issues it while that process lives; never used again.
+    Attempt, "attempt"
+);
+number_id!(
+    /// A hash of what a request asks for, equal when a caller sends it again.
+    Fingerprint, "fingerprint"
+);
+number_id!(
+    /// Tells starts of the same VM apart; higher is later. Milliseconds since
+    /// the Unix epoch at the process's start, raised further on refutation.
+    Incarnation, "incarnation"
+);
+number_id!(
+    /// Counts accepted documents of a service; higher is later.
+    Generation, "generation"
+);
+number_id!(
+    /// The version of an index, as upstreams count it; higher is later.
+    IndexVersion, "index version"
+);
+number_id!(
+    /// The version of a service's layout; higher is later.
+    LayoutVersion, "layout version"
+);
+number_id!(
+    /// An object's version in the platform's store; 0 where there is none.
+    ObjectVersion, "object version"
+);
+number_id!(
+    /// The store's revision: grows with each write to any object.
+    Revision, "revision"
+);
+
+impl Fingerprint {
+    /// Hashes the parts of a request that make it the same request when the
+    /// caller sends it again: the service and the body, not ids or deadlines.
+    pub fn of(service: &Service, body: &[u8]) -> Self {
+        let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
+        Self(xxhash_rust::xxh3::xxh3_64_with_seed(body, seed))
+    }
+}
+
+#[cfg(test)]
+#[path = "tests/ids.rs"]
+mod tests;
--- /dev/null
+++ b/crates/geraniumgauge/src/jsonc.rs
@@ -0,0 +1,1 @@
+//! Reads JSON with comments into values that remember their place.
--- /dev/null
+++ b/crates/geraniumgauge/src/lib.rs
@@ -0,0 +1,28 @@
+//! A query tier over many index shards.
+//!
+//! Callers' searches are fanned out to upstream replicas and gathered into one
+//! answer that reflects one snapshot and states truly which shards it covers.
+//! Each module is one duty with its own state, messages and tests. Decisions
+//! are state machines without I/O (`handle(event, now) -> actions`); the tasks
+//! beside them only carry the actions out, so the same code runs under
+//! quickcheck with seeds and in the daemon.
+
+pub mod document;
+pub mod finding;
+pub mod home;
+pub mod ids;
+pub mod jsonc;
+pub mod layout;
+pub mod ledger;
+pub mod member;
+pub mod mesh;
+pub mod metrics;
+pub mod quarantine;
+pub mod query;
+pub mod rate;
+pub mod rendezvous;
+pub mod slo;
+pub mod store;
+pub mod time;
+pub mod timer;
+pub mod upstream;
--- /dev/null
+++ b/crates/geraniumgauge/src/quarantine/mod.rs
@@ -0,0 +1,1 @@
+//! Requests that crash upstreams.
--- /dev/null
+++ b/crates/geraniumgauge/src/query/mod.rs
@@ -0,0 +1,14 @@
+//! Searches: one snapshot, true coverage, on time.
+
+mod answer;
+
+pub use answer::Answer;
+pub use answer::Code;
+pub use answer::Coverage;
+pub use answer::Hit;
+pub use answer::Missing;
+pub use answer::Ran;
+pub use answer::Reason;
+pub use answer::Refusal;
+pub use answer::Search;
+pub use answer::Snapshot;
--- /dev/null
+++ b/crates/geraniumgauge/src/rate.rs
@@ -0,0 +1,234 @@
+//! Rates, shares and sizes as distinct types.
+
+use std::str;
+
+use crate::time;
+
+/// Why a text is no rate, share or size.
+#[derive(Debug, Clone, PartialEq, derive_more::Display, derive_more::Error)]
+#[display("{text:?} is no {kind}; {remedy}")]
+pub struct Error {
+    kind: &'static str,
+    text: String,
+    remedy: &'static str,
+}
+
+/// A share from 0 to 1.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    PartialOrd,
+    serde::Serialize,
+    serde::Deserialize,
+    derive_more::Display,
+)]
+#[display("{_0}")]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Share(f64);
+
+impl Share {
+    /// A share, where `value` lies from 0 to 1.
+    pub fn new(value: f64) -> Option<Self> {
+        (0.0..=1.0).contains(&value).then_some(Self(value))
+    }
+
+    /// The share `percent` of 100, at most 1. For constants.
+    pub const fn percent(percent: u8) -> Self {
+        let capped = if percent > 100 { 100 } else { percent };
+        Self(capped as f64 / 100.0)
+    }
+
+    /// The share as a number from 0 to 1.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for Share {
+    type Error = Error;
+    fn try_from(value: f64) -> Result<Self, Error> {
+        let remedy = "give a number from 0 to 1";
+        Self::new(value).ok_or(Error {
+            kind: "share",
+            text: value.to_string(),
+            remedy,
+        })
+    }
+}
+
+impl From<Share> for f64 {
+    fn from(share: Share) -> Self {
+        share.0
+    }
+}
+
+impl str::FromStr for Share {
+    type Err = Error;
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let remedy = "give a number from 0 to 1";
+        let value = text.parse().ok().and_then(Self::new);
+        value.ok_or_else(|| Error {
+            kind: "share",
+            text: text.to_owned(),
+            remedy,
+        })
+    }
+}
+
+/// A number of bytes.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+    derive_more::Display,
+)]
+#[display("{_0} B")]
+#[serde(transparent)]
+pub struct Bytes(pub u64);
+
+impl str::FromStr for Bytes {
+    type Err = Error;
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let digits = text.strip_suffix("B").unwrap_or(text).trim_end();
+        let remedy = "give a whole number of bytes, such as 65536";
+        let value = digits.parse().map(Self);
+        value.map_err(|_| Error {
+            kind: "size",
+            text: text.to_owned(),
+            remedy,
+        })
+    }
+}
+
+/// Events a second.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    PartialOrd,
+    serde::Serialize,
+    serde::Deserialize,
+    derive_more::Display,
+)]
+#[display("{_0}/s")]
+#[serde(transparent)]
+pub struct PerSecond(pub f64);
+
+impl str::FromStr for PerSecond {
+    type Err = Error;
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let digits = text.strip_suffix("/s").unwrap_or(text);
+        let remedy = "give a number of 0 or more a second, such as 20/s";
+        let value = digits
+            .parse::<f64>()
+            .ok()
+            .filter(|v| v.is_finite() && *v >= 0.0);
+        value.map(Self).ok_or_else(|| Error {
+            kind: "rate",
+            text: text.to_owned(),
+            remedy,
+        })
+    }
+}
+
+/// Pays for extra work from a share of the first attempts.
+///
+/// Each first attempt earns `share` of a token; each hedge or retry costs one.
+/// Without it, a slow or refusing upstream draws more work the worse it does:
+/// a retry storm. The cap bounds the burst after a quiet time; the floor lets a
+/// service of a few requests a minute hedge at all.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    share: f64,
+    cap: f64,
+    tokens: f64,
+}
+
+impl Budget {
+    /// A budget that earns `share` a first attempt and holds at most `cap`
+    /// tokens. It starts full.
+    pub fn new(share: Share, cap: f64) -> Self {
+        Self {
+            share: share.get(),
+            cap,
+            tokens: cap,
+        }
+    }
+
+    /// Follows a changed document; tokens above the new cap are dropped.
+    pub fn set(&mut self, share: Share, cap: f64) {
+        self.share = share.get();
+        self.cap = cap;
+        self.tokens = self.tokens.min(cap);
+    }
+
+    /// Earns for `count` first attempts.
+    pub fn earn(&mut self, count: usize) {
+        self.tokens = (self.tokens + self.share * count as f64).min(self.cap);
+    }
+
+    /// Takes one token where there is one.
+    pub fn spend(&mut self) -> bool {
+        let paid = self.tokens >= 1.0;
+        if paid {
+            self.tokens -= 1.0;
+        }
+        paid
+    }
+
+    /// Tokens held.
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+}
+
+/// A token bucket over time: at most `rate` a second in the long run and
+/// `burst` at once.
+#[derive(Debug, Clone)]
+pub struct Bucket {
+    rate: PerSecond,
+    burst: f64,
+    tokens: f64,
+    seen: time::Moment,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(rate: PerSecond, burst: f64, now: time::Moment) -> Self {
+        Self {
+            rate,
+            burst,
+            tokens: burst,
+            seen: now,
+        }
+    }
+
+    /// Takes `count` tokens where they are there.
+    pub fn take(&mut self, count: f64, now: time::Moment) -> bool {
+        let gained = now.since(self.seen).as_secs_f64() * self.rate.0;
+        self.tokens = (self.tokens + gained).min(self.burst);
+        self.seen = self.seen.max(now);
+        let enough = self.tokens >= count;
+        if enough {
+            self.tokens -= count;
+        }
+        enough
+    }
+}
+
+#[cfg(test)]
+#[path = "tests/rate.rs"]
+mod tests;
