--- a/crates/geraniumgauge/src/mesh/message.rs
+++ b/crates/geraniumgauge/src/mesh/message.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// What it carries; a frame of a newer kind decodes as none and is skipped.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -51,6 +51,9 @@
     /// Documents and layouts.
     #[prost(message, tag = "12")]
     Pulled(Pulled),
+    /// To every VM: a request that may crash upstreams.
+    #[prost(message, tag = "13")]
+    Mark(Mark),
 }
 
 /// Who opens a link.
@@ -364,3 +367,21 @@
     #[prost(bytes = "bytes", tag = "4")]
     pub layout: Bytes,
 }
+
+/// A request that may crash upstreams, told directly; the same as its rumour.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Mark {
+    /// As [`crate::member::Rumour::key`].
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// As [`crate::member::Rumour::version`].
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// As [`crate::member::Rumour::body`].
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: Bytes,
+    /// The receiver passes it on to this many members from itself on, by the
+    /// view's order; 0 where it keeps it.
+    #[prost(uint32, tag = "4")]
+    pub relay: u32,
+}
--- a/crates/geraniumgauge/src/query/mod.rs
+++ b/crates/geraniumgauge/src/query/mod.rs
@@ -1,6 +1,7 @@
 //! Searches: one snapshot, true coverage, on time.
 
 mod answer;
+mod service;
 
 pub use answer::Answer;
 pub use answer::Code;
@@ -12,3 +13,6 @@
 pub use answer::Refusal;
 pub use answer::Search;
 pub use answer::Snapshot;
+pub use service::Config;
+pub use service::Policy;
+pub use service::Service;
