--- /dev/null
+++ b/crates/geraniumgauge/src/query/version.rs
@@ -0,0 +1,65 @@
+//! Which index version a search is pinned to.
+
+use crate::ids;
+use crate::query::plan;
+use crate::time as clock;
+
+/// The versions that a replica offers, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Range {
+    /// The oldest.
+    pub oldest: ids::IndexVersion,
+    /// The newest.
+    pub newest: ids::IndexVersion,
+}
+
+/// A version and how many of the shards asked can offer it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pick {
+    /// The version.
+    pub version: ids::IndexVersion,
+    /// Shards with a replica that offers it, or that may: nothing is known of it.
+    pub covers: usize,
+}
+
+/// The newest version that every shard offers, else the one that most do, the
+/// newest of these; `None` where no replica's range is known.
+pub fn pick(plan: &plan::Plan, shards: &[u32], now: clock::Moment) -> Option<Pick> {
+    let mut versions: Vec<_> = newest(plan, shards, now).collect();
+    versions.sort_unstable();
+    versions.dedup();
+    let mut best: Option<Pick> = None;
+    for version in versions.into_iter().rev() {
+        let covers = covers(plan, shards, version, now);
+        if best.is_none_or(|best| covers > best.covers) {
+            best = Some(Pick { version, covers });
+        }
+        if covers == shards.len() {
+            break;
+        }
+    }
+    best
+}
+
+/// How many of `shards` offer `version`, or may.
+pub fn covers(
+    plan: &plan::Plan,
+    shards: &[u32],
+    version: ids::IndexVersion,
+    now: clock::Moment,
+) -> usize {
+    let offered = |shard: &&u32| {
+        let mut replicas = plan.replicas_of(**shard);
+        replicas.any(|replica| replica.stats.offers(version, now) != Some(false))
+    };
+    shards.iter().filter(offered).count()
+}
+
+fn newest(
+    plan: &plan::Plan,
+    shards: &[u32],
+    now: clock::Moment,
+) -> impl Iterator<Item = ids::IndexVersion> {
+    let replicas = shards.iter().flat_map(|shard| plan.replicas_of(*shard));
+    replicas.filter_map(move |replica| Some(replica.stats.range(now)?.newest))
+}
