HTTP for callers and operators; stand-ins of the platform and upstreams

Cause: the whole path needs both ends before its middle can be tried. Change: callers' and operators' rocket servers over a backend trait, with limits, JSON refusals and a gate that counts requests; stand-ins over hyper, since rocket hides the connections on which silence and cuts happen. Conclusion: slices can be wired as they land.

--- /dev/null
+++ b/crates/geraniumgauge/src/http/callers.rs
@@ -0,0 +1,221 @@
+//! Callers' paths.
+
+use rocket::data;
+
+use crate::http;
+use crate::http::head;
+use crate::http::reply;
+use crate::ids;
+use crate::ledger;
+use crate::query;
+
+/// Hits where the caller names no limit.
+const DEFAULT_HITS: u32 = 10;
+
+/// The body of a search.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Body {
+    query: Box<serde_json::value::RawValue>,
+    limit: Option<u32>,
+    shards: Option<Vec<ids::Shard>>,
+}
+
+/// The paths, for rocket.
+pub(super) fn routes() -> Vec<rocket::Route> {
+    rocket::routes![search, register, record]
+}
+
+/// The catchers, for rocket.
+pub(super) fn catchers() -> Vec<rocket::Catcher> {
+    rocket::catchers![caught]
+}
+
+#[rocket::post("/v1/services/<service>/search", data = "<data>")]
+async fn search(
+    service: &str,
+    data: rocket::Data<'_>,
+    head: head::Head,
+    context: &rocket::State<head::Context>,
+) -> reply::Reply {
+    let answer = match read_search(service, data, &head, context).await {
+        Ok(search) => context.backend.search(search).await,
+        Err(refusal) => Err(refusal),
+    };
+    finish(answer, &head, context)
+}
+
+#[rocket::post("/v1/services/<service>/records", data = "<data>")]
+async fn register(
+    service: &str,
+    data: rocket::Data<'_>,
+    head: head::Head,
+    context: &rocket::State<head::Context>,
+) -> reply::Reply {
+    let done = match read_record(service, data, &head, context).await {
+        Ok(registration) => context.backend.register(registration).await,
+        Err(refusal) => Err(refusal),
+    };
+    finish(done, &head, context)
+}
+
+#[rocket::get("/v1/services/<service>/records/<key>")]
+async fn record(
+    service: &str,
+    key: &str,
+    head: head::Head,
+    context: &rocket::State<head::Context>,
+) -> reply::Reply {
+    let wanted = head
+        .admit()
+        .and_then(|_| Ok((named(service)?, named(key)?)));
+    let state = match wanted {
+        Ok((service, key)) => context.backend.record(service, key).await,
+        Err(refusal) => Err(refusal),
+    };
+    finish(state, &head, context)
+}
+
+/// Whatever rocket itself refuses: unknown paths, wrong methods, and panics of
+/// handlers, which rocket catches so that nothing else is taken along.
+#[rocket::catch(default)]
+fn caught(status: rocket::http::Status, request: &rocket::Request<'_>) -> reply::Reply {
+    let (code, ran) = match status.code {
+        404 | 405 => (query::Code::NotFound, query::Ran::No),
+        413 => (query::Code::TooLarge, query::Ran::No),
+        500.. => (query::Code::Internal, query::Ran::Unknown),
+        _ => (query::Code::BadRequest, query::Ran::No),
+    };
+    let message = match code {
+        query::Code::NotFound => format!(
+            "no path {} {}; callers use POST /v1/services/{{service}}/search and .../records",
+            request.method(),
+            request.uri().path(),
+        ),
+        query::Code::Internal => "a fault of this program; other requests go on".to_owned(),
+        _ => format!("the request can't be read: {status}"),
+    };
+    let refusal = query::Refusal {
+        code,
+        message,
+        ran,
+        retry_after: None,
+    };
+    match request.rocket().state::<head::Context>() {
+        Some(context) => reply::Reply::refusal(&refusal, &context.backend.request_id()),
+        None => reply::Reply::text(status.code, refusal.message),
+    }
+}
+
+fn finish(
+    answer: Result<impl serde::Serialize, query::Refusal>,
+    head: &head::Head,
+    context: &head::Context,
+) -> reply::Reply {
+    let reply = match &answer {
+        Ok(answer) => reply::Reply::json(answer, &head.request),
+        Err(refusal) => {
+            log(refusal, head);
+            reply::Reply::refusal(refusal, &head.request)
+        }
+    };
+    reply.closing(context.gate.is_stopping())
+}
+
+fn log(refusal: &query::Refusal, head: &head::Head) {
+    let caller = head
+        .headers
+        .as_ref()
+        .ok()
+        .and_then(|headers| headers.caller_id.as_deref());
+    log::info!(
+        target: "callers",
+        "request_id={} caller_request_id={} code={} ran={} {}",
+        head.request, caller.unwrap_or("-"), refusal.code, refusal.ran, refusal.message
+    );
+}
+
+async fn read_search(
+    service: &str,
+    data: rocket::Data<'_>,
+    head: &head::Head,
+    context: &head::Context,
+) -> Result<query::Search, query::Refusal> {
+    let headers = head.admit()?;
+    let service = named(service)?;
+    let bytes = read(data, &context.limits).await?;
+    let body: Body =
+        serde_json::from_slice(&bytes).map_err(|error| bad(format!("body: {error}")))?;
+    let size = body.query.get().len() as u64;
+    if size > context.limits.query.0 {
+        let most = context.limits.query.0;
+        let message = format!("body: query: {size} bytes; send at most {most}");
+        return Err(query::Refusal::not_run(query::Code::TooLarge, message));
+    }
+    let limit = body.limit.unwrap_or(DEFAULT_HITS);
+    if !(1..=context.limits.hits).contains(&limit) {
+        let most = context.limits.hits;
+        return Err(bad(format!(
+            "body: limit: {limit}; ask for 1 to {most} hits"
+        )));
+    }
+    if body.shards.as_ref().is_some_and(Vec::is_empty) {
+        return Err(bad(
+            "body: shards: an empty list; name shards or leave it out".to_owned(),
+        ));
+    }
+    Ok(query::Search {
+        request: head.request.clone(),
+        service,
+        query: body.query,
+        limit,
+        shards: body.shards,
+        time_left: headers.time_left,
+    })
+}
+
+async fn read_record(
+    service: &str,
+    data: rocket::Data<'_>,
+    head: &head::Head,
+    context: &head::Context,
+) -> Result<ledger::Registration, query::Refusal> {
+    let headers = head.admit()?;
+    let service = named(service)?;
+    let missing = || {
+        let name = head::IDEMPOTENCY_KEY;
+        bad(format!(
+            "header {name} is missing; send a key that names this registration"
+        ))
+    };
+    let key = headers.key.clone().ok_or_else(missing)?;
+    let bytes = read(data, &context.limits).await?;
+    let parsed = serde_json::from_slice::<&serde_json::value::RawValue>(&bytes);
+    parsed.map_err(|error| bad(format!("body: {error}")))?;
+    Ok(ledger::Registration {
+        request: head.request.clone(),
+        service,
+        key,
+        body: bytes.into(),
+        time_left: headers.time_left,
+    })
+}
+
+async fn read(data: rocket::Data<'_>, limits: &http::Limits) -> Result<Vec<u8>, query::Refusal> {
+    let limit = data::ByteUnit::from(limits.body.0);
+    let bytes = data.open(limit).into_bytes().await;
+    let bytes = bytes.map_err(|error| bad(format!("body: can't be read: {error}")))?;
+    if !bytes.is_complete() {
+        let message = format!("body: more than {} bytes; send less", limits.body.0);
+        return Err(query::Refusal::not_run(query::Code::TooLarge, message));
+    }
+    Ok(bytes.into_inner())
+}
+
+fn named<T: std::str::FromStr<Err = ids::Error>>(text: &str) -> Result<T, query::Refusal> {
+    text.parse().map_err(|error| bad(format!("path: {error}")))
+}
+
+fn bad(message: String) -> query::Refusal {
+    query::Refusal::not_run(query::Code::BadRequest, message)
+}
--- a/crates/geraniumgauge/src/lib.rs
+++ b/crates/geraniumgauge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod document;
 pub mod finding;
 pub mod home;
+pub mod http;
 pub mod ids;
 pub mod jsonc;
 pub mod layout;
@@ -26,3 +27,4 @@
 pub mod time;
 pub mod timer;
 pub mod upstream;
+pub mod vm;
--- /dev/null
+++ b/crates/geraniumgauge/src/vm/mod.rs
@@ -0,0 +1,1 @@
+//! One VM: every duty, wired.
--- /dev/null
+++ b/crates/standin/src/upstream/routes.rs
@@ -0,0 +1,364 @@
+//! The upstream's HTTP paths; `/control/faults`, `/control/counts` and
+//! `/control/runs` are for experiments.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use geraniumgauge::ids;
+use geraniumgauge::upstream as contract;
+use tokio_util::sync::CancellationToken;
+
+use crate::serve;
+use crate::upstream;
+use crate::upstream::corpus;
+
+pub(super) struct Routes {
+    state: sync::Arc<upstream::State>,
+    life: CancellationToken,
+    told: sync::Mutex<Told>,
+}
+
+/// What `/health` and `/load` told over time, so that they can lag.
+type Told = collections::VecDeque<(tokio::time::Instant, serde_json::Value)>;
+
+/// Counts itself out when dropped.
+pub(super) struct Connection {
+    state: sync::Arc<upstream::State>,
+    opened: tokio::time::Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.state.close();
+    }
+}
+
+/// Takes a request out when dropped, however it ends.
+struct Entered {
+    state: sync::Arc<upstream::State>,
+    id: String,
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.state.leave(&self.id);
+    }
+}
+
+/// How a request's run ended.
+enum End {
+    Done,
+    Cancelled,
+    Crashed,
+}
+
+impl Routes {
+    pub(super) fn new(state: sync::Arc<upstream::State>, life: CancellationToken) -> Self {
+        Self {
+            state,
+            life,
+            told: sync::Mutex::default(),
+        }
+    }
+
+    async fn dispatch(&self, request: serve::Request) -> serve::Reply {
+        let path = request.uri().path().to_owned();
+        let parts: Vec<_> = path.trim_start_matches('/').split('/').collect();
+        match (request.method().as_str(), parts.as_slice()) {
+            ("POST", ["shards", shard, kind @ ("search" | "records")]) => {
+                let Ok(shard) = shard.parse() else {
+                    return not_found(&path);
+                };
+                self.admit(request, shard, *kind == "records").await
+            }
+            ("DELETE", ["requests", id]) => {
+                let found = self.state.cancel(&serve::decode(id));
+                serve::Reply::Answer(serve::text(if found { 204 } else { 404 }, ""))
+            }
+            ("GET", ["health" | "load"]) => serve::Reply::Answer(serve::json(200, &self.health())),
+            (_, ["control", what]) => serve::Reply::Answer(self.control(&request, what)),
+            _ => not_found(&path),
+        }
+    }
+
+    async fn admit(
+        &self,
+        request: serve::Request,
+        shard: ids::Shard,
+        record: bool,
+    ) -> serve::Reply {
+        let faults = self.state.faults();
+        if faults.draining {
+            self.state.count(|counts| {
+                counts.arrived_draining += 1;
+                counts.refused_draining += 1;
+            });
+            return refuse(503, "draining");
+        }
+        if !self.state.config.shards.contains(&shard) {
+            return serve::Reply::Answer(serve::text(404, format!("no shard {shard} here")));
+        }
+        let asked = serve::header(&request, contract::INDEX_VERSION);
+        let version = asked.unwrap_or(faults.newest);
+        if !record && !(faults.oldest..=faults.newest).contains(&version) {
+            return serve::Reply::Answer(unavailable(&faults));
+        }
+        let id: String = serve::header(&request, contract::REQUEST_ID).unwrap_or_default();
+        let room = if self.state.chance(faults.shed_share) {
+            None
+        } else {
+            self.state.enter(&id)
+        };
+        let Some(cancel) = room else {
+            self.state.count(|counts| counts.shed += 1);
+            return refuse(503, "shed");
+        };
+        let job = Job {
+            id,
+            shard,
+            version,
+            record,
+            faults,
+            request,
+        };
+        self.run(job, cancel).await
+    }
+
+    /// Runs in a task of its own: work goes on when its caller hangs up, and
+    /// only `DELETE /requests/{id}` or a crash ends it early.
+    async fn run(&self, job: Job, cancel: CancellationToken) -> serve::Reply {
+        let state = sync::Arc::clone(&self.state);
+        let task = tokio::spawn(async move {
+            let entered = Entered {
+                state: sync::Arc::clone(&state),
+                id: job.id.clone(),
+            };
+            let end = work(&state, &job, &cancel).await;
+            drop(entered);
+            (end, job)
+        });
+        let Ok((end, job)) = task.await else {
+            return serve::Reply::Close;
+        };
+        match end {
+            End::Done => self.reply(&job),
+            End::Cancelled => refuse(499, "cancelled"),
+            End::Crashed => serve::Reply::Close,
+        }
+    }
+
+    fn reply(&self, job: &Job) -> serve::Reply {
+        if self.state.chance(job.faults.lose_replies) {
+            return serve::Reply::Close;
+        }
+        let crossed = self.state.chance(job.faults.crossed_share);
+        let wrong = self.state.chance(job.faults.wrong_version_share);
+        let version = if wrong { job.version + 1 } else { job.version };
+        let mut response = if job.record {
+            job.registered()
+        } else {
+            job.found(version)
+        };
+        let id = if crossed {
+            format!("{}-other", job.id)
+        } else {
+            job.id.clone()
+        };
+        serve::set(&mut response, contract::REQUEST_ID, id);
+        serve::set(&mut response, contract::SHARD, &job.shard);
+        serve::set(&mut response, contract::INDEX_VERSION, version);
+        let asked = serve::header::<u64>(&job.request, contract::LAYOUT_VERSION);
+        serve::set(
+            &mut response,
+            contract::LAYOUT_VERSION,
+            asked.unwrap_or(job.faults.layout),
+        );
+        let now = self.state.faults();
+        serve::set(&mut response, contract::INDEX_OLDEST, now.oldest);
+        serve::set(&mut response, contract::INDEX_NEWEST, now.newest);
+        serve::Reply::Answer(response)
+    }
+
+    fn health(&self) -> serde_json::Value {
+        let faults = self.state.faults();
+        let lag = time::Duration::from_millis(faults.health_lag_ms);
+        let now = tokio::time::Instant::now();
+        let mut told = self
+            .told
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        told.push_back((now, self.present(&faults)));
+        while told.len() > 1 && told[1].0 + lag <= now {
+            told.pop_front();
+        }
+        let Some((at, value)) = told.front() else {
+            return serde_json::Value::Null;
+        };
+        let mut value = value.clone();
+        value["age_ms"] = serde_json::json!(u64::try_from((now - *at).as_millis()).unwrap_or(0));
+        value
+    }
+
+    fn present(&self, faults: &upstream::Faults) -> serde_json::Value {
+        let honest = match (faults.draining, self.state.is_cold()) {
+            (true, _) => "draining",
+            (false, true) => "starting",
+            (false, false) => "up",
+        };
+        let lying = faults.health_lie.is_some();
+        let here = self.state.running();
+        let running = here.min(self.state.config.slots as usize);
+        serde_json::json!({
+            "status": faults.health_lie.as_deref().unwrap_or(honest),
+            "oldest": faults.oldest,
+            "newest": faults.newest,
+            "layout": faults.layout,
+            "running": if lying { 0 } else { running },
+            "queued": if lying { 0 } else { here - running },
+        })
+    }
+
+    fn control(&self, request: &serve::Request, what: &str) -> serve::Response {
+        match (request.method().as_str(), what) {
+            ("GET", "faults") => serve::json(200, &self.state.faults()),
+            ("GET", "counts") => serve::json(200, &self.state.counts()),
+            ("GET", "runs") => serve::json(200, &self.state.runs()),
+            ("POST", "crash") => {
+                self.state.crash();
+                serve::text(200, "crashed\n")
+            }
+            ("POST", "faults") => match serde_json::from_slice(request.body()) {
+                Ok(faults) => {
+                    self.state.set_faults(|present| *present = faults);
+                    serve::text(200, "set\n")
+                }
+                Err(error) => serve::text(400, format!("{error}\n")),
+            },
+            _ => serve::text(404, "control paths: faults, counts, runs, crash"),
+        }
+    }
+}
+
+#[async_trait::async_trait]
+impl serve::Handler for Routes {
+    type Connection = Connection;
+
+    async fn connect(&self) -> Option<Connection> {
+        if !self.state.open() {
+            return None;
+        }
+        let opened = tokio::time::Instant::now();
+        let connection = Connection {
+            state: sync::Arc::clone(&self.state),
+            opened,
+        };
+        let cost = time::Duration::from_millis(self.state.config.connect_ms);
+        tokio::time::sleep(cost).await;
+        Some(connection)
+    }
+
+    async fn answer(&self, connection: &Connection, request: serve::Request) -> serve::Reply {
+        let control = request.uri().path().starts_with("/control/");
+        if !control && self.state.is_silent(connection.opened) {
+            return serve::Reply::Silence;
+        }
+        let reply = tokio::select! {
+            reply = self.dispatch(request) => reply,
+            () = self.life.cancelled() => serve::Reply::Close,
+        };
+        if !control && self.state.is_silent(connection.opened) {
+            return serve::Reply::Silence;
+        }
+        reply
+    }
+}
+
+/// One request that was let in.
+struct Job {
+    id: String,
+    shard: ids::Shard,
+    version: u64,
+    record: bool,
+    faults: upstream::Faults,
+    request: serve::Request,
+}
+
+impl Job {
+    fn crashes(&self) -> bool {
+        let text = &self.faults.crash_text;
+        let body = String::from_utf8_lossy(self.request.body());
+        !text.is_empty() && body.contains(text.as_str())
+    }
+
+    fn found(&self, version: u64) -> serve::Response {
+        let body: serde_json::Value =
+            serde_json::from_slice(self.request.body()).unwrap_or_default();
+        let hits = corpus::hits(&self.shard, &body["query"].to_string(), version);
+        serve::json(200, &serde_json::json!({ "hits": hits }))
+    }
+
+    fn registered(&self) -> serve::Response {
+        let result = serde_json::json!({ "shard": self.shard, "number": self.id });
+        serve::json(200, &serde_json::json!({ "result": result }))
+    }
+
+    fn run(&self) -> upstream::Run {
+        let key: Option<String> = serve::header(&self.request, contract::IDEMPOTENCY_KEY);
+        upstream::Run {
+            key: key.unwrap_or_default(),
+            request: self.id.clone(),
+            shard: self.shard.to_string(),
+        }
+    }
+}
+
+/// Waits for a slot and runs. A record counts as run once it has its slot: from
+/// then on its effect can't be called back.
+async fn work(state: &upstream::State, job: &Job, cancel: &CancellationToken) -> End {
+    let slot = tokio::select! {
+        slot = state.slots.acquire() => slot,
+        () = cancel.cancelled() => return cancelled(state),
+    };
+    let Ok(_slot) = slot else { return End::Crashed };
+    if job.record {
+        state.log(job.run());
+    } else {
+        state.count(|counts| counts.started += 1);
+    }
+    if job.crashes() {
+        state.crash();
+        return End::Crashed;
+    }
+    tokio::select! {
+        () = tokio::time::sleep(state.work()) => {}
+        () = cancel.cancelled() => return cancelled(state),
+    }
+    if !job.record {
+        state.count(|counts| counts.finished += 1);
+    }
+    End::Done
+}
+
+fn cancelled(state: &upstream::State) -> End {
+    if state.is_crashed() {
+        return End::Crashed;
+    }
+    state.count(|counts| counts.cancelled += 1);
+    End::Cancelled
+}
+
+fn unavailable(faults: &upstream::Faults) -> serve::Response {
+    let body = serde_json::json!({
+        "error": "version_unavailable", "oldest": faults.oldest, "newest": faults.newest,
+    });
+    serve::json(409, &body)
+}
+
+fn refuse(status: u16, error: &str) -> serve::Reply {
+    serve::Reply::Answer(serve::json(status, &serde_json::json!({ "error": error })))
+}
+
+fn not_found(path: &str) -> serve::Reply {
+    serve::Reply::Answer(serve::text(404, format!("no such path: {path}")))
+}
