store: client over HTTP, fake with settable faults, back-off, budget of calls

The other duties need store::Api before the stand-in's platform is there. The client bounds each call in time, tells a write that was not sent (Unavailable) from one whose reply was lost (Unsure), counts calls by kind and result, and pays for them from a VM's share of the platform's rates; claims go first. store::Fake serves store::Objects in memory with faults.

--- a/crates/geraniumgauge/src/store/mod.rs
+++ b/crates/geraniumgauge/src/store/mod.rs
@@ -1,7 +1,22 @@
 //! The platform's object API: versioned objects, conditional updates, watches.
 
+mod backoff;
+mod budget;
+mod calls;
+mod client;
+mod fake;
 mod objects;
 
+pub use backoff::Backoff;
+pub use client::Client;
+pub use client::IF_VERSION;
+pub use client::OBJECT_VERSION;
+#[doc(hidden)]
+pub use fake::Count;
+#[doc(hidden)]
+pub use fake::Fake;
+#[doc(hidden)]
+pub use fake::Faults;
 pub use objects::Objects;
 
 use std::time;
