--- a/crates/geraniumgauge/src/jsonc.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Reads JSON with comments into values that remember their place.
