Searches: gather, admission, tasks

Cause: searches had a handle and no worker. Change: the gather state machine (leads, hedges, retries, restarts, trials), its task, admission by AIMD, routing of replies, metrics.

--- a/crates/geraniumgauge/src/quarantine/book.rs
+++ b/crates/geraniumgauge/src/quarantine/book.rs
@@ -177,10 +177,11 @@
     }
 
     /// Upstreams that a mark names and that may still be down.
-    pub fn down(&self, upstream: &ids::Upstream, now: Now) -> bool {
+    pub fn down(&self, now: Now) -> Vec<ids::Upstream> {
         let fresh = |mark: &&quarantine::Mark| now.wall.since(mark.since) < DOWN_FOR;
-        let mut marks = self.marks.values().filter(fresh);
-        marks.any(|mark| mark.names(upstream) && mark.state != quarantine::State::Clear)
+        let marks = self.marks.values().filter(fresh);
+        let named = marks.flat_map(|mark| mark.crashed.iter().chain(&mark.lost));
+        named.cloned().collect()
     }
 
     /// Every mark that holds, clearances left out.
--- a/crates/geraniumgauge/src/quarantine/mod.rs
+++ b/crates/geraniumgauge/src/quarantine/mod.rs
@@ -8,13 +8,17 @@
 pub mod book;
 pub mod trial;
 
+mod claim;
 mod direct;
+mod keep;
 mod mark;
 mod service;
 
 #[cfg(test)]
 mod tests;
 
+pub use claim::Denied;
+pub use claim::Trial;
 pub use direct::Direct;
 pub use mark::Mark;
 pub use mark::State;
--- a/crates/geraniumgauge/src/quarantine/service.rs
+++ b/crates/geraniumgauge/src/quarantine/service.rs
@@ -2,33 +2,23 @@
 
 use std::sync;
 use std::sync::atomic;
-use std::time;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::ids;
 use crate::member;
 use crate::mesh::message;
 use crate::quarantine;
 use crate::quarantine::book;
+use crate::quarantine::keep;
 use crate::quarantine::trial;
 use crate::store;
 use crate::time as clock;
 use crate::timer;
 
-/// How often expired marks are dropped and failed writes tried again.
-const ROUND: time::Duration = time::Duration::from_secs(1);
-/// How often the store's marks are read, against rumours that were missed.
-const REREAD: time::Duration = time::Duration::from_secs(60);
-/// Tries of one conditional update before it waits for the next round.
-const TRIES: usize = 4;
-/// Most writes that wait for the store; the oldest are dropped beyond it.
-const WAITING: usize = 1024;
-/// When to ask again where another trial runs or the store is out.
-const ASK_AGAIN: time::Duration = time::Duration::from_millis(200);
-
 /// Tells every VM of a mark, by rumour at least.
 pub trait Spread: Send + Sync {
     /// Hands one rumour of [`member::Topic::Mark`] on. Must not block.
@@ -42,52 +32,25 @@
     pub vm: ids::Vm,
 }
 
-/// Why no trial may start now.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-pub enum Denied {
-    /// Another try may succeed after this time.
-    #[display("no trial may start for {} ms", after.as_millis())]
-    Later {
-        /// How long to wait.
-        after: time::Duration,
-    },
-    /// The request is quarantined.
-    #[display("the request is quarantined")]
-    Quarantined,
-}
-
 /// What this VM knows of requests that crash upstreams; cheap to clone.
 #[derive(Clone)]
 pub struct Service {
-    inner: sync::Arc<Inner>,
+    pub(super) inner: sync::Arc<Inner>,
 }
 
-struct Inner {
-    config: Config,
+pub(super) struct Inner {
+    pub(super) config: Config,
     book: sync::Mutex<book::Book>,
     /// Whether any mark is held: the common case takes no lock.
-    held: atomic::AtomicBool,
-    epoch: atomic::AtomicU64,
-    tokens: atomic::AtomicU64,
-    store: sync::Arc<dyn store::Api>,
+    pub(super) held: atomic::AtomicBool,
+    pub(super) tokens: atomic::AtomicU64,
+    pub(super) store: sync::Arc<dyn store::Api>,
     spread: sync::Arc<dyn Spread>,
-    clock: clock::Clock,
-    writes: mpsc::Sender<Write>,
+    pub(super) clock: clock::Clock,
+    pub(super) writes: mpsc::Sender<keep::Write>,
+    changes: watch::Sender<u64>,
     marked: metrics::Counter<u64>,
-    trials: metrics::Counter<u64>,
-}
-
-enum Write {
-    Join(quarantine::Mark),
-    Finish(ids::Service, trial::Claim),
-}
-
-/// The right to run one lone trial. Dropped without an end, it lapses and
-/// counts as a crash: whether the request ran isn't known.
-pub struct Trial {
-    owner: Service,
-    service: ids::Service,
-    claim: trial::Claim,
+    pub(super) trials: metrics::Counter<u64>,
 }
 
 impl Service {
@@ -100,17 +63,17 @@
         timer: timer::Service,
         meter: &metrics::Meter,
     ) -> Self {
-        let (writes, waiting) = mpsc::channel(WAITING);
+        let (writes, waiting) = mpsc::channel(keep::WAITING);
         let inner = Inner {
             config,
             book: sync::Mutex::default(),
             held: atomic::AtomicBool::new(false),
-            epoch: atomic::AtomicU64::new(0),
             tokens: atomic::AtomicU64::new(clock.wall().0),
             store,
             spread,
             clock,
             writes,
+            changes: watch::Sender::new(0),
             marked: counter(meter, "quarantine.marks", "Marks set here, by state"),
             trials: counter(meter, "quarantine.trials", "Lone trials run here, by end"),
         };
@@ -135,9 +98,13 @@
         self.book().verdict(service, fingerprint, wall)
     }
 
-    /// Grows with each change of any verdict.
-    pub fn epoch(&self) -> u64 {
-        self.inner.epoch.load(atomic::Ordering::Acquire)
+    /// A number that grows with each change of any verdict.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.inner.changes.subscribe()
+    }
+
+    fn changed(&self) {
+        self.inner.changes.send_modify(|count| *count += 1);
     }
 
     /// Whether the request completed lately at this VM.
@@ -146,9 +113,9 @@
         self.book().lately(service, fingerprint, now)
     }
 
-    /// Whether `upstream` may be down after a crash that some VM saw.
-    pub fn down(&self, upstream: &ids::Upstream) -> bool {
-        self.inner.held.load(atomic::Ordering::Acquire) && self.book().down(upstream, self.now())
+    /// Upstreams that may be down after a crash that some VM saw.
+    pub fn down(&self) -> Vec<ids::Upstream> {
+        self.book().down(self.now())
     }
 
     /// A connection to `upstream` was lost while it ran the request beside
@@ -205,59 +172,6 @@
         self.book().list(self.inner.clock.wall())
     }
 
-    /// Asks the store for the right to run a lone trial.
-    ///
-    /// # Errors
-    /// Where none may start now: another one runs in the service, upstreams
-    /// are going down, the store is out, or the request is quarantined.
-    pub async fn trial(
-        &self,
-        service: &ids::Service,
-        fingerprint: ids::Fingerprint,
-    ) -> Result<Trial, Denied> {
-        let calm = self.book().calm(service, fingerprint, self.now());
-        calm.map_err(|after| Denied::Later { after })?;
-        let claim = trial::Claim {
-            fingerprint,
-            vm: self.inner.config.vm.clone(),
-            token: self.inner.tokens.fetch_add(1, atomic::Ordering::Relaxed),
-            until: self.inner.clock.wall() + trial::SPAN,
-        };
-        for _ in 0..TRIES {
-            if self.claim(service, &claim).await? {
-                let owner = self.clone();
-                let service = service.clone();
-                return Ok(Trial {
-                    owner,
-                    service,
-                    claim,
-                });
-            }
-        }
-        Err(Denied::Later { after: ASK_AGAIN })
-    }
-
-    /// One try at the claim; false where another writer was faster.
-    async fn claim(&self, service: &ids::Service, claim: &trial::Claim) -> Result<bool, Denied> {
-        let later = || Denied::Later { after: ASK_AGAIN };
-        let (held, condition) = self.fetch(service).await.map_err(|_| later())?;
-        self.take_in(&held);
-        if held.claim.as_ref() == Some(claim) {
-            return Ok(true);
-        }
-        let wall = self.inner.clock.wall();
-        let fingerprint = claim.fingerprint;
-        if self.verdict(service, fingerprint) == quarantine::Verdict::Quarantined {
-            return Err(Denied::Quarantined);
-        }
-        let next = held.start(claim, wall).ok_or_else(later)?;
-        match self.put(service, &next, condition).await {
-            Ok(()) => Ok(true),
-            Err(store::Error::Conflict { .. } | store::Error::Unsure { .. }) => Ok(false),
-            Err(_) => Err(later()),
-        }
-    }
-
     fn handle(&self, event: book::Event) {
         let (actions, empty) = {
             let mut book = self.book();
@@ -272,7 +186,7 @@
 
     fn carry_out(&self, action: book::Action) {
         let book::Action::Publish(mark) = action;
-        self.inner.epoch.fetch_add(1, atomic::Ordering::AcqRel);
+        self.changed();
         let state = KeyValue::new("state", mark.state.to_string());
         self.inner.marked.add(1, &[state]);
         log::warn!(
@@ -288,7 +202,7 @@
             version: mark.version,
             body: body.into(),
         });
-        if self.inner.writes.try_send(Write::Join(mark)).is_err() {
+        if self.inner.writes.try_send(keep::Write::Join(mark)).is_err() {
             log::warn!("a mark isn't kept in the store: too many wait");
         }
     }
@@ -305,175 +219,29 @@
         let (service, fingerprint) = (mark.service.clone(), mark.fingerprint);
         self.handle(book::Event::Heard(mark));
         if self.verdict(&service, fingerprint) != before {
-            self.inner.epoch.fetch_add(1, atomic::Ordering::AcqRel);
+            self.changed();
         }
     }
 
-    fn take_in(&self, ledger: &trial::Ledger) {
+    pub(super) fn take_in(&self, ledger: &trial::Ledger) {
         for mark in &ledger.marks {
             self.hear(mark.clone());
         }
     }
 
-    async fn fetch(
-        &self,
-        service: &ids::Service,
-    ) -> Result<(trial::Ledger, store::Condition), store::Error> {
-        match self.inner.store.get(&trial::key(service)).await {
-            Ok(object) => {
-                let ledger = serde_json::from_slice(&object.body).unwrap_or_default();
-                Ok((ledger, store::Condition::Version(object.version)))
-            }
-            Err(store::Error::Missing { .. }) => {
-                Ok((trial::Ledger::default(), store::Condition::Absent))
-            }
-            Err(error) => Err(error),
-        }
-    }
-
-    async fn put(
-        &self,
-        service: &ids::Service,
-        ledger: &trial::Ledger,
-        condition: store::Condition,
-    ) -> Result<(), store::Error> {
-        let body = serde_json::to_vec(ledger).unwrap_or_default();
-        let key = trial::key(service);
-        self.inner.store.put(&key, body.into(), condition).await?;
-        Ok(())
-    }
-
-    /// Reads the store's marks at the start and now and then.
-    async fn reread(self, timer: timer::Service) {
-        self.load().await;
-        let mut ticks = timer.jittered(REREAD);
-        while ticks.tick().await.is_some() {
-            self.load().await;
-        }
-    }
-
-    async fn load(&self) {
-        let Ok(listing) = self.inner.store.list(trial::PREFIX).await else {
-            return;
-        };
-        for change in listing.changes {
-            let Some(name) = change.key.strip_prefix(trial::PREFIX) else {
-                continue;
-            };
-            let Ok(service) = name.parse::<ids::Service>() else {
-                continue;
-            };
-            if let Ok((ledger, _)) = self.fetch(&service).await {
-                self.take_in(&ledger);
-            }
-        }
-    }
-
-    /// Writes marks and ends of trials; what the store doesn't take waits.
-    async fn keep(self, mut waiting: mpsc::Receiver<Write>, timer: timer::Service) {
-        let mut ticks = timer.every(ROUND, ROUND);
-        let mut left = Vec::new();
-        loop {
-            tokio::select! {
-                write = waiting.recv() => left.extend(write),
-                tick = ticks.tick() => if tick.is_none() { return },
-            }
-            self.expire();
-            let mut failed = Vec::new();
-            for write in left.drain(..) {
-                if !self.write(&write).await {
-                    failed.push(write);
-                }
-            }
-            failed.truncate(WAITING);
-            left = failed;
-        }
-    }
-
-    fn expire(&self) {
-        let mut book = self.book();
-        book.expire(self.now());
-        self.inner
-            .held
-            .store(!book.is_empty(), atomic::Ordering::Release);
-    }
-
-    /// Whether the write is done or void.
-    async fn write(&self, write: &Write) -> bool {
-        for _ in 0..TRIES {
-            let service = match write {
-                Write::Join(mark) => &mark.service,
-                Write::Finish(service, _) => service,
-            };
-            let Ok((held, condition)) = self.fetch(service).await else {
-                return false;
-            };
-            let Some(next) = self.apply(write, &held) else {
-                return true;
-            };
-            if self.put(service, &next, condition).await.is_ok() {
-                return true;
-            }
-        }
-        false
-    }
-
-    fn apply(&self, write: &Write, held: &trial::Ledger) -> Option<trial::Ledger> {
-        let wall = self.inner.clock.wall();
-        match write {
-            Write::Finish(_, claim) => held.finish(claim),
-            Write::Join(mark) if wall >= mark.until => None,
-            Write::Join(mark) => {
-                let mut next = held.clone();
-                next.join(mark, wall);
-                (next != *held).then_some(next)
-            }
-        }
-    }
-
-    fn now(&self) -> book::Now {
+    pub(super) fn now(&self) -> book::Now {
         book::Now {
             moment: self.inner.clock.now(),
             wall: self.inner.clock.wall(),
         }
     }
 
-    fn book(&self) -> sync::MutexGuard<'_, book::Book> {
+    pub(super) fn book(&self) -> sync::MutexGuard<'_, book::Book> {
         let locked = self.inner.book.lock();
         locked.unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
-impl Trial {
-    /// States how the trial ended; `upstream` ran it.
-    pub fn finish(self, end: trial::End, upstream: &ids::Upstream) {
-        let Self {
-            owner,
-            service,
-            claim,
-        } = self;
-        let kind = KeyValue::new("end", format!("{end:?}").to_lowercase());
-        owner.inner.trials.add(1, &[kind]);
-        let fingerprint = claim.fingerprint;
-        match end {
-            trial::End::Completed => owner.completed(&service, fingerprint),
-            trial::End::Lost => {
-                owner.lost_while(&service, fingerprint, upstream, book::Run::Trial);
-            }
-            trial::End::NotRun => {}
-            trial::End::Unknown => return,
-        }
-        if owner
-            .inner
-            .writes
-            .try_send(Write::Finish(service, claim))
-            .is_err()
-        {
-            log::warn!("the end of a trial isn't kept in the store: too many wait");
-        }
-    }
-}
-
 fn counter(
     meter: &metrics::Meter,
     name: &'static str,
--- a/crates/geraniumgauge/src/quarantine/trial.rs
+++ b/crates/geraniumgauge/src/quarantine/trial.rs
@@ -50,7 +50,8 @@
 }
 
 /// What became of a trial.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+#[display(rename_all = "snake_case")]
 pub enum End {
     /// The upstream answered.
     Completed,
@@ -62,20 +63,32 @@
     Unknown,
 }
 
+/// Whether a trial may start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Start {
+    /// Yes, once this is written.
+    Go(Ledger),
+    /// Another one runs in the service.
+    Busy,
+    /// No: the request is quarantined, which this says too.
+    Quarantined(Ledger),
+}
+
 impl Ledger {
-    /// Takes the right to try `claim.fingerprint`; `None` where another trial
-    /// runs, or the request is already quarantined here.
-    pub fn start(&self, claim: &Claim, wall: clock::Wall) -> Option<Self> {
+    /// Takes the right to try `claim.fingerprint`.
+    pub fn start(&self, claim: &Claim, wall: clock::Wall) -> Start {
         let mut next = self.clone();
         next.settle(wall);
         let mark = next.mark(claim.fingerprint);
-        let quarantined =
-            mark.is_some_and(|mark| mark.verdict(wall) == quarantine::Verdict::Quarantined);
-        if next.claim.is_some() || quarantined {
-            return None;
+        let verdict = mark.map_or(quarantine::Verdict::Clear, |mark| mark.verdict(wall));
+        if verdict == quarantine::Verdict::Quarantined {
+            return Start::Quarantined(next);
+        }
+        if next.claim.is_some() {
+            return Start::Busy;
         }
         next.claim = Some(claim.clone());
-        Some(next)
+        Start::Go(next)
     }
 
     /// Gives the right back.
--- a/crates/geraniumgauge/src/query/merge.rs
+++ b/crates/geraniumgauge/src/query/merge.rs
@@ -86,14 +86,18 @@
     }
     let order = |a: &(&ids::Shard, &Found, &Place), b: &(&ids::Shard, &Found, &Place)| {
         let score = b.2.score.total_cmp(&a.2.score);
-        score.then_with(|| a.0.cmp(b.0)).then_with(|| a.2.id.cmp(&b.2.id))
+        score
+            .then_with(|| a.0.cmp(b.0))
+            .then_with(|| a.2.id.cmp(&b.2.id))
     };
     if all.len() > limit && limit > 0 {
         all.select_nth_unstable_by(limit - 1, order);
     }
     all.truncate(limit);
     all.sort_by(order);
-    let whole = all.into_iter().filter_map(|(shard, found, place)| found.hit(shard, place));
+    let whole = all
+        .into_iter()
+        .filter_map(|(shard, found, place)| found.hit(shard, place));
     whole.collect()
 }
 
--- a/crates/geraniumgauge/src/query/mod.rs
+++ b/crates/geraniumgauge/src/query/mod.rs
@@ -1,7 +1,22 @@
 //! Searches: one snapshot, true coverage, on time.
 
+pub mod fleet;
+pub mod gather;
+pub mod merge;
+pub mod plan;
+pub mod replica;
+pub mod times;
+pub mod version;
+
+pub mod admission;
+mod admit;
 mod answer;
+mod desk;
+mod figures;
+mod links;
+mod route;
 mod service;
+mod task;
 
 pub use answer::Answer;
 pub use answer::Code;
@@ -16,3 +31,6 @@
 pub use service::Config;
 pub use service::Policy;
 pub use service::Service;
+
+/// What holds for most requests.
+pub(crate) const CLEAR: crate::quarantine::Verdict = crate::quarantine::Verdict::Clear;
--- a/crates/geraniumgauge/src/query/replica.rs
+++ b/crates/geraniumgauge/src/query/replica.rs
@@ -141,7 +141,11 @@
     pub fn took(&self, span: time::Duration, now: clock::Moment) {
         let held = self.took.load(ORDER);
         let span = clock::micros(span).max(1);
-        let sample = if held == 0 { span } else { span.min(held * OUTLIER) };
+        let sample = if held == 0 {
+            span
+        } else {
+            span.min(held * OUTLIER)
+        };
         mean(&self.took, sample);
         self.timed.store(now.0, ORDER);
     }
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -1,19 +1,28 @@
-//! Runs searches.
+//! Admits searches and hands replies to them.
 
+use std::collections;
 use std::sync;
+use std::sync::atomic;
 
 use opentelemetry::metrics;
 use tokio::sync::watch;
+use tokio::task as tasks;
 
 use crate::document;
+use crate::home::placement;
 use crate::ids;
 use crate::member;
 use crate::mesh;
 use crate::mesh::message;
 use crate::quarantine;
 use crate::query;
+use crate::query::desk;
+use crate::query::figures;
+use crate::query::links;
+use crate::query::route;
+use crate::query::task;
 use crate::slo;
-use crate::time;
+use crate::time as clock;
 use crate::timer;
 
 /// How calls are placed and repeated. All but [`Policy::Full`] are baselines
@@ -28,7 +37,8 @@
     /// As `Full`, without hedges.
     NoHedge,
     /// Round robin over the replicas, no hedge, no canary or quarantine, no
-    /// budgets: a not-run call is retried until the deadline.
+    /// budgets and no limit below the document's: a call that failed is
+    /// retried until the deadline.
     Direct,
 }
 
@@ -45,44 +55,129 @@
 
 /// Runs searches; cheap to clone.
 #[derive(Clone)]
-pub struct Service {}
+pub struct Service {
+    inner: sync::Arc<Inner>,
+}
+
+pub(super) struct Inner {
+    pub(super) config: Config,
+    pub(super) post: sync::Arc<dyn mesh::Post>,
+    pub(super) book: quarantine::Service,
+    pub(super) slo: sync::Arc<dyn slo::Record>,
+    pub(super) clock: clock::Clock,
+    pub(super) route: route::Route,
+    pub(super) figures: figures::Figures,
+    pub(super) catalog: document::Catalog,
+    pub(super) view: watch::Receiver<member::Shared>,
+    pub(super) desks: sync::RwLock<collections::HashMap<ids::Service, sync::Arc<desk::Desk>>>,
+    pub(super) homes: placement::Cache,
+    pub(super) links: links::Links,
+    pub(super) numbers: atomic::AtomicU64,
+    pub(super) running: atomic::AtomicUsize,
+}
 
 impl Service {
-    /// A service over what is in force and who is there.
+    /// A service over what is in force and who is there. Call within a runtime.
     #[expect(
         clippy::too_many_arguments,
         reason = "each is a part that the daemon wires"
     )]
     pub fn start(
-        _config: Config,
-        _catalog: document::Catalog,
-        _view: watch::Receiver<member::Shared>,
-        _post: sync::Arc<dyn mesh::Post>,
-        _book: quarantine::Service,
-        _slo: sync::Arc<dyn slo::Record>,
-        _clock: time::Clock,
-        _timer: timer::Service,
-        _meter: &metrics::Meter,
+        config: Config,
+        catalog: document::Catalog,
+        view: watch::Receiver<member::Shared>,
+        post: sync::Arc<dyn mesh::Post>,
+        book: quarantine::Service,
+        slo: sync::Arc<dyn slo::Record>,
+        clock: clock::Clock,
+        timer: timer::Service,
+        meter: &metrics::Meter,
     ) -> Self {
-        Self {}
+        let changes = book.changes();
+        let inner = Inner {
+            config,
+            post,
+            book,
+            slo,
+            clock,
+            route: route::Route::default(),
+            figures: figures::Figures::new(meter),
+            catalog,
+            view,
+            desks: sync::RwLock::default(),
+            homes: placement::Cache::default(),
+            links: links::Links::default(),
+            numbers: atomic::AtomicU64::new(1),
+            running: atomic::AtomicUsize::new(0),
+        };
+        let this = Self {
+            inner: sync::Arc::new(inner),
+        };
+        tokio::spawn(this.clone().tell_marks(changes, timer));
+        this
     }
 
-    /// Runs one search to its answer.
+    /// Runs one search to its answer. Dropping the future cancels the search.
     ///
     /// # Errors
     /// A refusal with a truthful `ran`.
-    pub async fn search(&self, _search: query::Search) -> Result<query::Answer, query::Refusal> {
-        Err(query::Refusal::not_run(query::Code::Unavailable, "not yet"))
+    pub async fn search(&self, search: query::Search) -> Result<query::Answer, query::Refusal> {
+        let service = search.service.clone();
+        let answer = match self.inner.admit(search) {
+            Ok(task) => Self::spawn(task).await,
+            Err(refusal) => Err(refusal),
+        };
+        if let Err(refusal) = &answer {
+            self.inner.refused(service, refusal);
+        }
+        answer
     }
 
     /// Replies from a home.
-    pub fn replies(&self, _from: &ids::Vm, _replies: message::Replies) {}
+    pub fn replies(&self, from: &ids::Vm, replies: message::Replies) {
+        self.inner.route.replies(from, replies.replies);
+    }
 
     /// The link to a VM was lost.
-    pub fn lost(&self, _vm: &ids::Vm) {}
+    pub fn lost(&self, vm: &ids::Vm) {
+        self.inner.links.get(vm).lost(self.inner.clock.now());
+        self.inner.route.all(|| task::Input::Lost(vm.clone()));
+    }
 
     /// Searches that run now.
     pub fn running(&self) -> usize {
-        0
+        self.inner.running.load(atomic::Ordering::Relaxed)
+    }
+
+    /// A task of its own: a panic under one search ends that search only.
+    async fn spawn(task: task::Task) -> Result<query::Answer, query::Refusal> {
+        let handle = tasks::spawn(task.run());
+        let _abort = Abort(handle.abort_handle());
+        handle.await.map_err(|error| {
+            log::error!("a search failed: {error}");
+            let message = "a fault of this program; other requests go on";
+            query::Refusal::unknown(query::Code::Internal, message)
+        })
+    }
+
+    /// Running searches look at their verdict again when any mark changes, so
+    /// that canaries of a request that crashed elsewhere are called back.
+    async fn tell_marks(self, mut changes: watch::Receiver<u64>, timer: timer::Service) {
+        loop {
+            tokio::select! {
+                changed = changes.changed() => if changed.is_err() { return },
+                () = timer.stop().cancelled() => return,
+            }
+            self.inner.route.all(|| task::Input::Marked);
+        }
+    }
+}
+
+/// Ends the search's task with its caller.
+struct Abort(tasks::AbortHandle);
+
+impl Drop for Abort {
+    fn drop(&mut self) {
+        self.0.abort();
     }
 }
--- a/crates/geraniumgauge/src/query/times.rs
+++ b/crates/geraniumgauge/src/query/times.rs
@@ -79,10 +79,16 @@
 /// over. At exactly the share that it pays, noise would empty the budget on
 /// calls that are about to end, and the real stragglers would find it empty.
 fn quantile(budgets: &document::Budgets) -> f64 {
-    budgets.hedge_quantile.get().max(1.0 - budgets.hedge.get() / 2.0)
+    budgets
+        .hedge_quantile
+        .get()
+        .max(1.0 - budgets.hedge.get() / 2.0)
 }
 
-#[expect(clippy::expect_used, reason = "the bounds are constants that every test uses")]
+#[expect(
+    clippy::expect_used,
+    reason = "the bounds are constants that every test uses"
+)]
 fn empty() -> hdrhistogram::Histogram<u64> {
     hdrhistogram::Histogram::new_with_bounds(1, LONGEST_US, DIGITS).expect("valid bounds")
 }
