Mesh messages: goodbye frame and the opener's address

Cause: a socket shows an orderly close and a dead process alike, and a VM whose view lags has no address to reply to. Change: Body::Bye ends a link in order; Hello carries where its sender listens. Both additive.

--- a/crates/geraniumgauge/src/mesh/message.rs
+++ b/crates/geraniumgauge/src/mesh/message.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// What it carries; a frame of a newer kind decodes as none and is skipped.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -51,6 +51,10 @@
     /// Documents and layouts.
     #[prost(message, tag = "12")]
     Pulled(Pulled),
+    /// Last frame on a link whose opener closes it in order; tells an orderly
+    /// close from a process that died, which looks the same to a socket.
+    #[prost(message, tag = "13")]
+    Bye(Bye),
 }
 
 /// Who opens a link.
@@ -65,8 +69,16 @@
     /// Version of this protocol.
     #[prost(uint32, tag = "3")]
     pub protocol: u32,
+    /// Where the sender's mesh listens, as `ip:port`; for replies to a VM that
+    /// the receiver's view doesn't hold yet.
+    #[prost(string, tag = "4")]
+    pub address: String,
 }
 
+/// Ends a link in order: every frame before it has been sent.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Bye {}
+
 /// Shard calls of one query to upstreams of one home.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Batch {
