Mesh: one link a direction, silent links noticed, frames coalesced

Cause: parts had only the contract of the mesh. Change: links opened on first use, bounded queues that encode into one buffer (one write for all that waits), heartbeats only while frames are unanswered, loss told from an orderly close by a goodbye frame, a fresh link after a silent one so that the peer learns of it, links to an earlier start ended. Membership for now shows the platform's list.

Seen to fail with its guard removed: silence, made-up heartbeat replies, the peer's name, the reopened link, the greeted address, the later start.

--- a/crates/geraniumgauge/src/member/mod.rs
+++ b/crates/geraniumgauge/src/member/mod.rs
@@ -1,7 +1,10 @@
 //! Membership: which VMs are there, as this VM sees it.
 
+mod service;
 mod view;
 
+pub use service::Config;
+pub use service::Service;
 pub use view::Member;
 pub use view::Shared;
 pub use view::State;
--- a/crates/geraniumgauge/src/mesh/mod.rs
+++ b/crates/geraniumgauge/src/mesh/mod.rs
@@ -1,9 +1,28 @@
-//! Frames between VMs.
+//! Frames between VMs: one TCP link for each pair and direction.
+//!
+//! A VM sends over links that it opened and receives over links that it
+//! accepted, so two VMs that call each other at once need no rule about whose
+//! link survives, and a link that fails in one direction says nothing of the
+//! other. The acceptor writes only its greeting and replies to heartbeats.
 
+mod codec;
+mod count;
+mod inbound;
+mod link;
 pub mod message;
+mod outbox;
+mod pulse;
+mod service;
+
+pub use codec::Codec;
+pub use service::Config;
+pub use service::Mesh;
 
 use crate::ids;
 
+/// Version of the frames; a peer of another version is refused on its greeting.
+pub const PROTOCOL: u32 = 1;
+
 /// Why a frame was not taken for sending. Nothing of it has left this VM.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum Error {
@@ -29,6 +48,12 @@
         /// The limit, in bytes.
         limit: usize,
     },
+    /// This VM's mesh is closed: the VM is stopping.
+    #[display("the mesh is closed; nothing was sent to {vm}")]
+    Closed {
+        /// The peer.
+        vm: ids::Vm,
+    },
 }
 
 /// Sends frames to other VMs. Sending to this VM itself delivers locally, in
@@ -48,7 +73,8 @@
     /// One frame from `from`.
     fn receive(&self, from: &ids::Vm, body: message::Body);
 
-    /// The link to `vm` went down or silent: frames sent over it may or may
-    /// not have arrived, and no reply to them will come.
+    /// A link from or to `vm` went down or silent: frames sent over it may or
+    /// may not have arrived, and replies to earlier frames may never come.
+    /// Replies that do come late must be dropped by their attempt.
     fn lost(&self, vm: &ids::Vm);
 }
