Properties of searches and of crash queries; canaries that meet, lost calls after a cancel

An entry that knew one replica of a shard to be down sent its canary to its sibling. Calls of an abandoned pin are forgotten, since they speak of replicas by the old plan's numbers.

--- a/crates/geraniumgauge/src/quarantine/tests.rs
+++ b/crates/geraniumgauge/src/quarantine/tests.rs
@@ -1,1 +1,3 @@
-
+mod book;
+mod fleet;
+mod service;
--- /dev/null
+++ b/crates/geraniumgauge/src/quarantine/tests/book.rs
@@ -0,0 +1,184 @@
+//! The book alone.
+
+use std::time;
+
+use crate::ids;
+use crate::quarantine::Mark;
+use crate::quarantine::Verdict;
+use crate::quarantine::book;
+use crate::quarantine::trial;
+use crate::time as clock;
+
+const SERVICE: &str = "port";
+const QUERY: ids::Fingerprint = ids::Fingerprint(7);
+
+fn service() -> ids::Service {
+    SERVICE.parse().unwrap()
+}
+
+fn at(millis: u64) -> book::Now {
+    book::Now {
+        moment: clock::Moment::from_millis(millis),
+        wall: clock::Wall(1_000_000 + millis),
+    }
+}
+
+fn lost(query: ids::Fingerprint, upstream: &str, run: book::Run) -> book::Event {
+    book::Event::Lost {
+        service: service(),
+        fingerprint: query,
+        upstream: upstream.parse().unwrap(),
+        run,
+    }
+}
+
+fn completed(query: ids::Fingerprint) -> book::Event {
+    book::Event::Completed {
+        service: service(),
+        fingerprint: query,
+    }
+}
+
+fn verdict(book: &book::Book, query: ids::Fingerprint, now: book::Now) -> Verdict {
+    book.verdict(&service(), query, now.wall)
+}
+
+fn published(actions: Vec<book::Action>) -> Mark {
+    let [book::Action::Publish(mark)] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    mark.clone()
+}
+
+/// A query crashes the upstream that runs it, and its caller sends it again.
+/// The first loss makes it suspect, the trial's loss quarantines it.
+#[test]
+fn a_second_crash_quarantines() {
+    let mut book = book::Book::default();
+    book.handle(lost(QUERY, "a", book::Run::Canary), at(0));
+    assert_eq!(verdict(&book, QUERY, at(0)), Verdict::Suspect);
+    book.handle(lost(QUERY, "b", book::Run::Trial), at(2000));
+    assert_eq!(verdict(&book, QUERY, at(2000)), Verdict::Quarantined);
+    let expired = 2000 + book::QUARANTINE_FOR.as_millis() as u64;
+    assert_eq!(verdict(&book, QUERY, at(expired)), Verdict::Clear);
+}
+
+/// A query that runs where another one crashes the upstream is blamed with it.
+/// Its own trial completes, and it runs freely again everywhere.
+#[test]
+fn a_completed_trial_clears_here_and_elsewhere() {
+    let mut here = book::Book::default();
+    let mut there = book::Book::default();
+    let suspicion = published(here.handle(lost(QUERY, "a", book::Run::Plain), at(0)));
+    there.handle(book::Event::Heard(suspicion.clone()), at(1));
+    assert_eq!(verdict(&there, QUERY, at(1)), Verdict::Suspect);
+    let clearance = published(here.handle(completed(QUERY), at(500)));
+    there.handle(book::Event::Heard(clearance), at(501));
+    there.handle(book::Event::Heard(suspicion), at(502));
+    assert_eq!(verdict(&there, QUERY, at(502)), Verdict::Clear);
+}
+
+/// A rack goes and takes eight upstreams with it. Every query that ran there
+/// would be blamed, and its callers refused for minutes.
+#[test]
+fn a_rack_blames_no_query_that_has_completed() {
+    let mut book = book::Book::default();
+    book.handle(completed(QUERY), at(0));
+    for upstream in 0..8 {
+        let upstream = format!("u{upstream}");
+        book.handle(lost(QUERY, &upstream, book::Run::Plain), at(1000));
+    }
+    assert_eq!(verdict(&book, QUERY, at(1000)), Verdict::Clear);
+}
+
+/// While a rack goes down a trial would be lost with it and prove nothing.
+#[test]
+fn no_trial_starts_while_upstreams_go_down() {
+    let mut book = book::Book::default();
+    book.handle(lost(QUERY, "a", book::Run::Canary), at(0));
+    assert!(book.calm(&service(), QUERY, at(0)).is_err());
+    let settled = book::SETTLE.as_millis() as u64;
+    assert!(book.calm(&service(), QUERY, at(settled)).is_ok());
+    let other = ids::Fingerprint(8);
+    book.handle(lost(other, "b", book::Run::Plain), at(settled));
+    assert!(book.calm(&service(), QUERY, at(settled + 1)).is_err());
+}
+
+quickcheck::quickcheck! {
+    /// Whatever order marks arrive in, every VM comes to hold the same.
+    fn the_order_of_marks_changes_nothing(seeds: Vec<(u8, u8, bool)>) -> bool {
+        let marks: Vec<Mark> = seeds.iter().take(4).map(|seed| mark(*seed)).collect();
+        let join = |order: &[&Mark]| {
+            let first = order.first().map(|mark| (*mark).clone());
+            order.iter().skip(1).fold(first, |held, mark| held.map(|held| held.join(mark)))
+        };
+        let there: Vec<&Mark> = marks.iter().collect();
+        let back: Vec<&Mark> = marks.iter().rev().collect();
+        join(&there) == join(&back)
+    }
+}
+
+fn mark((version, upstream, graver): (u8, u8, bool)) -> Mark {
+    let state = if graver {
+        crate::quarantine::State::Quarantined
+    } else {
+        crate::quarantine::State::Suspect
+    };
+    Mark {
+        service: service(),
+        fingerprint: QUERY,
+        state,
+        version: u64::from(version),
+        crashed: vec![format!("u{}", upstream % 3).parse().unwrap()],
+        lost: Vec::new(),
+        since: clock::Wall(u64::from(upstream)),
+        until: clock::Wall(u64::from(version) + 1000),
+    }
+}
+
+fn claim(token: u64, wall: clock::Wall) -> trial::Claim {
+    trial::Claim {
+        fingerprint: QUERY,
+        vm: "vm-1".parse().unwrap(),
+        token,
+        until: wall + trial::SPAN,
+    }
+}
+
+/// Two VMs want to try at once; each would take an upstream. The store lets one.
+#[test]
+fn one_trial_runs_at_a_time() {
+    let wall = at(0).wall;
+    let ledger = trial::Ledger::default();
+    let trial::Start::Go(held) = ledger.start(&claim(1, wall), wall) else {
+        panic!("the first trial may start");
+    };
+    assert_eq!(held.start(&claim(2, wall), wall), trial::Start::Busy);
+    let free = held.finish(&claim(1, wall)).unwrap();
+    assert!(matches!(
+        free.start(&claim(2, wall), wall),
+        trial::Start::Go(_)
+    ));
+}
+
+/// A VM is paused between its claim and its trial, or dies with it. Nobody
+/// knows whether an upstream crashed; a second trial could be the third crash.
+#[test]
+fn a_trial_without_an_end_counts_as_a_crash() {
+    let wall = at(0).wall;
+    let mut book = book::Book::default();
+    let suspicion = published(book.handle(lost(QUERY, "a", book::Run::Canary), at(0)));
+    let mut ledger = trial::Ledger::default();
+    ledger.join(&suspicion, wall);
+    let trial::Start::Go(held) = ledger.start(&claim(1, wall), wall) else {
+        panic!("the first trial may start");
+    };
+    let later = wall + trial::SPAN + time::Duration::from_millis(1);
+    let trial::Start::Quarantined(next) = held.start(&claim(2, later), later) else {
+        panic!("no second trial may start");
+    };
+    assert_eq!(
+        next.mark(QUERY).unwrap().verdict(later),
+        Verdict::Quarantined
+    );
+}
--- a/crates/geraniumgauge/src/query/admit.rs
+++ b/crates/geraniumgauge/src/query/admit.rs
@@ -8,6 +8,7 @@
 
 use crate::document;
 use crate::ids;
+use crate::mesh::message;
 use crate::query;
 use crate::query::Policy;
 use crate::query::admission;
@@ -172,6 +173,19 @@
         desks.entry(service.clone()).or_insert_with(fresh).clone()
     }
 
+    /// A call of a search that has ended lost its connection. It is held
+    /// against the request all the same, or a request that takes longer than
+    /// its deadline to crash an upstream would never be found out.
+    pub(super) fn lost_late(&self, reply: &message::Reply) {
+        let Some(ended) = self.route.late(reply.attempt) else {
+            return;
+        };
+        let guarded = self.config.policy != Policy::Direct;
+        if let (true, Ok(upstream)) = (guarded, reply.upstream.parse()) {
+            self.book.lost(&ended.service, ended.fingerprint, &upstream);
+        }
+    }
+
     pub(super) fn refused(&self, service: ids::Service, refusal: &query::Refusal) {
         // A service that isn't there has no objectives, and a caller could make
         // up any number of names.
--- a/crates/geraniumgauge/src/query/gather/attempt.rs
+++ b/crates/geraniumgauge/src/query/gather/attempt.rs
@@ -18,6 +18,9 @@
     pub(super) kind: message::Kind,
     /// Whether it has ended; a reply to an ended call is dropped.
     pub(super) ended: bool,
+    /// Whether it was cancelled from here and no reply has come since. It may
+    /// have crashed its upstream before the cancel came there.
+    pub(super) recalled: bool,
 }
 
 impl Attempt {
--- a/crates/geraniumgauge/src/query/gather/calls.rs
+++ b/crates/geraniumgauge/src/query/gather/calls.rs
@@ -115,6 +115,7 @@
             sent: now,
             kind,
             ended: false,
+            recalled: false,
         });
         self.open += 1;
         let slot = &mut self.slots[slot as usize];
@@ -249,6 +250,7 @@
         self.out.cancels.push((called.vm, id));
         self.counts.cancels += 1;
         self.end(attempt);
+        self.attempts[attempt as usize].recalled = true;
     }
 
     pub(super) fn cancel_all(&mut self) {
--- a/crates/geraniumgauge/src/query/gather/fail.rs
+++ b/crates/geraniumgauge/src/query/gather/fail.rs
@@ -34,7 +34,11 @@
         let called = &self.attempts[attempt as usize];
         let replica = self.plan.replica(called.replica);
         let sender = self.homes.name(called.vm);
-        if called.ended || replica.id.as_str() != reply.upstream || sender != from {
+        if replica.id.as_str() != reply.upstream || sender != from {
+            return;
+        }
+        if called.ended {
+            self.recalled(attempt, reply.outcome());
             return;
         }
         replica.stats.learn(&reply, now);
@@ -50,6 +54,19 @@
         }
     }
 
+    /// A reply to a call that was cancelled. Of these only a loss counts: the
+    /// call may have crashed its upstream before the cancel came there, and
+    /// unseen it would not be held against the request.
+    fn recalled(&mut self, attempt: u32, outcome: Outcome) {
+        let called = &mut self.attempts[attempt as usize];
+        let first = std::mem::take(&mut called.recalled);
+        if first && outcome == Outcome::Lost && self.setup.policy != query::Policy::Direct {
+            let (replica, kind) = (called.replica, called.kind);
+            let upstream = self.plan.replica(replica).id.clone();
+            self.blame(upstream, kind);
+        }
+    }
+
     fn attempt_of(&self, reply: &message::Reply) -> Option<u32> {
         let number = reply.attempt.checked_sub(self.setup.base)?;
         let known = number < self.attempts.len() as u64;
@@ -226,7 +243,13 @@
         } else {
             slot::State::Deferred
         };
-        if self.open == 0 {
+        let gone = matches!(
+            outcome,
+            Outcome::Unreachable | Outcome::Silent | Outcome::Unknown
+        );
+        if gone && self.setup.canary {
+            self.lead_later(now);
+        } else if self.open == 0 {
             self.send_lead(now);
         }
     }
--- a/crates/geraniumgauge/src/query/gather/mod.rs
+++ b/crates/geraniumgauge/src/query/gather/mod.rs
@@ -90,6 +90,7 @@
     Hedge(u32),
     Retry { slot: u32, round: u32 },
     Trial,
+    Lead,
 }
 
 const NONE: u32 = u32::MAX;
@@ -177,6 +178,12 @@
         self.out.take(self.pin, &self.plan, &self.homes)
     }
 
+    /// Whether calls were cancelled of which no end is known yet: one of them
+    /// may still be found to have crashed its upstream.
+    pub fn leaves_calls(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.recalled)
+    }
+
     /// What was sent.
     pub fn counts(&self) -> &Counts {
         &self.counts
@@ -236,6 +243,7 @@
                 Due::Hedge(attempt) => self.hedge_due(attempt, now),
                 Due::Retry { slot, round } => self.retry_due(slot, round, now),
                 Due::Trial => self.trial_due(now),
+                Due::Lead => self.lead_due(now),
             }
         }
     }
--- a/crates/geraniumgauge/src/query/gather/restart.rs
+++ b/crates/geraniumgauge/src/query/gather/restart.rs
@@ -109,6 +109,7 @@
         };
         self.cancel_all();
         self.out.flush(self.pin, &self.plan, &self.homes);
+        self.forget_calls();
         self.homes.follow(&plan);
         self.pin = version::pick(&plan, &asked, now).map(|pick| pick.version);
         self.plan = plan;
@@ -122,4 +123,13 @@
         self.setup.canary &= !self.first_hits;
         self.begin(now);
     }
+
+    /// Calls of the abandoned pin speak of replicas by the old plan's numbers.
+    /// The next calls are numbered on, so a late reply to one of these finds
+    /// no call.
+    fn forget_calls(&mut self) {
+        self.setup.base += self.attempts.len() as u64;
+        self.attempts.clear();
+        self.due.clear();
+    }
 }
--- a/crates/geraniumgauge/src/query/gather/suspect.rs
+++ b/crates/geraniumgauge/src/query/gather/suspect.rs
@@ -201,7 +201,7 @@
         offers && !stats.avoided(now)
     }
 
-    fn siblings_up(&self, replica: u32, down: &[ids::Upstream]) -> bool {
+    pub(super) fn siblings_up(&self, replica: u32, down: &[ids::Upstream]) -> bool {
         let up = |upstream: &query::plan::Replica| {
             !upstream.stats.down() && !down.contains(&upstream.id)
         };
--- a/crates/geraniumgauge/src/query/gather/tests/failures.rs
+++ b/crates/geraniumgauge/src/query/gather/tests/failures.rs
@@ -120,10 +120,10 @@
 fn a_repartition_restarts_a_search_that_it_leaves_without_shards() {
     let mut world = world::World::new(5, 4, 2, world::NONE);
     known(&world);
+    world.repartition(6, 2);
     for range in world.ranges.values_mut() {
         *range = (9, 9);
     }
-    world.repartition(6, 2);
     let setup = world.setup(1 << 20);
     let counts = world.run(setup);
     assert!(counts.restarts >= 1);
@@ -274,7 +274,7 @@
     let mut actions = search.handle(start, world.now);
     for moved in [true, false] {
         let sent = sends(&actions);
-        assert_eq!(!sent.is_empty(), true);
+        assert!(!sent.is_empty());
         let mut next = Vec::new();
         for (from, calls) in sent {
             let reply = |call| failed(call, message::Outcome::NotHome);
@@ -290,6 +290,12 @@
     }
     assert_eq!(search.counts().moved, 4);
     assert_eq!(search.counts().retries, 0);
+    let mut now = world.now;
+    while answer(std::mem::take(&mut actions)).is_none() {
+        now = search.wake();
+        actions = search.handle(gather::Event::Tick, now);
+    }
+    assert!(now < world.now + time::Duration::from_millis(500));
     assert!(search.counts().retries_refused > 0);
 }
 
@@ -302,7 +308,7 @@
         10,
         1,
         world::Faults {
-            lost: 10,
+            lost: 30,
             ..world::NONE
         },
     );
--- a/crates/geraniumgauge/src/query/route.rs
+++ b/crates/geraniumgauge/src/query/route.rs
@@ -14,6 +14,9 @@
 /// Parts of the table, each with its own lock.
 const PARTS: usize = 32;
 
+/// Ended searches remembered whose calls were cancelled.
+const ENDED: usize = 4096;
+
 /// Takes what a search is told.
 pub(super) type Inbox = mpsc::UnboundedSender<task::Input>;
 
@@ -21,12 +24,22 @@
 #[derive(Debug)]
 pub(super) struct Route {
     parts: Vec<sync::Mutex<collections::HashMap<u64, Inbox>>>,
+    ended: sync::Mutex<collections::VecDeque<Ended>>,
+}
+
+/// A search that ended while calls of it were under way.
+#[derive(Debug, Clone)]
+pub(super) struct Ended {
+    pub(super) search: u64,
+    pub(super) service: ids::Service,
+    pub(super) fingerprint: ids::Fingerprint,
 }
 
 impl Default for Route {
     fn default() -> Self {
         Self {
             parts: (0..PARTS).map(|_| sync::Mutex::default()).collect(),
+            ended: sync::Mutex::default(),
         }
     }
 }
@@ -45,16 +58,46 @@
         self.part(search).remove(&search);
     }
 
+    /// Remembers a search whose calls were cancelled at its end.
+    pub(super) fn ended(&self, ended: Ended) {
+        let mut held = lock(&self.ended);
+        if held.len() >= ENDED {
+            held.pop_front();
+        }
+        held.push_back(ended);
+    }
+
+    /// The search that a late reply is for, where that is still known.
+    pub(super) fn late(&self, attempt: u64) -> Option<Ended> {
+        let held = lock(&self.ended);
+        let mut newest = held.iter().rev();
+        newest
+            .find(|ended| ended.search == attempt >> BITS)
+            .cloned()
+    }
+
     /// Hands on one frame. Replies of a batch come together, so a frame mostly
-    /// goes to one search as it is. Replies to ended searches are dropped.
-    pub(super) fn replies(&self, from: &ids::Vm, mut replies: Vec<message::Reply>) {
+    /// goes to one search as it is. Returns replies to ended searches.
+    pub(super) fn replies(
+        &self,
+        from: &ids::Vm,
+        mut replies: Vec<message::Reply>,
+    ) -> Vec<message::Reply> {
+        let mut late = Vec::new();
         while let Some(last) = replies.last() {
             let search = last.attempt >> BITS;
             let other = |reply: &message::Reply| reply.attempt >> BITS != search;
             let own = replies.iter().rposition(other).map_or(0, |at| at + 1);
             let own = replies.split_off(own);
-            self.send(search, || task::Input::Replies(from.clone(), own));
+            let part = self.part(search);
+            match part.get(&search) {
+                Some(inbox) => {
+                    let _ = inbox.send(task::Input::Replies(from.clone(), own));
+                }
+                None => late.extend(own),
+            }
         }
+        late
     }
 
     /// Tells every search.
@@ -67,12 +110,6 @@
         }
     }
 
-    fn send(&self, search: u64, input: impl FnOnce() -> task::Input) {
-        if let Some(inbox) = self.part(search).get(&search) {
-            let _ = inbox.send(input());
-        }
-    }
-
     fn part(&self, search: u64) -> Part<'_> {
         lock(&self.parts[search as usize % PARTS])
     }
@@ -80,6 +117,6 @@
 
 type Part<'a> = sync::MutexGuard<'a, collections::HashMap<u64, Inbox>>;
 
-fn lock(part: &sync::Mutex<collections::HashMap<u64, Inbox>>) -> Part<'_> {
+fn lock<T>(part: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     part.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -135,7 +135,11 @@
 
     /// Replies from a home.
     pub fn replies(&self, from: &ids::Vm, replies: message::Replies) {
-        self.inner.route.replies(from, replies.replies);
+        let late = self.inner.route.replies(from, replies.replies);
+        let lost = |reply: &&message::Reply| reply.outcome() == message::Outcome::Lost;
+        for reply in late.iter().filter(lost) {
+            self.inner.lost_late(reply);
+        }
     }
 
     /// The link to a VM was lost.
--- a/crates/geraniumgauge/src/query/task.rs
+++ b/crates/geraniumgauge/src/query/task.rs
@@ -263,6 +263,13 @@
                 self.cancel(&vm, attempts);
             }
         }
+        if self.gather.leaves_calls() {
+            self.owner.route.ended(route::Ended {
+                search: self.number,
+                service: self.ask.service.clone(),
+                fingerprint: self.ask.fingerprint,
+            });
+        }
         let counts = self.gather.counts();
         self.owner.figures.counted(&self.ask.service, counts);
         self.owner.done(&self.desk, self.sign);
