VM wiring, daemon, site and measure harness, not yet built

Cause: the whole path needs the duties joined. Change: vm::Vm wires every duty; geraniumgauged runs it; the stand-ins get a site in one process, a balancer, a load tool, a demo and scripts/site. Measured: not built yet; some duties are still to land.

--- /dev/null
+++ b/crates/geraniumgauge/src/vm/dispatch.rs
@@ -0,0 +1,99 @@
+//! Hands frames and rumours to the duties they belong to.
+
+use std::sync;
+
+use tokio::sync::broadcast;
+use tokio_util::sync::CancellationToken;
+
+use crate::document;
+use crate::home;
+use crate::ids;
+use crate::ledger;
+use crate::member;
+use crate::mesh;
+use crate::mesh::message;
+use crate::quarantine;
+use crate::query;
+
+/// The duties that take frames.
+pub(super) struct Targets {
+    pub(super) home: home::Service,
+    pub(super) query: query::Service,
+    pub(super) ledger: ledger::Service,
+    pub(super) document: document::Service,
+}
+
+/// Takes frames from the mesh. The mesh is there before the duties, which send
+/// through it; frames that come before [`Self::set`] are dropped, as if the VM
+/// had started a moment later.
+#[derive(Default)]
+pub(super) struct Dispatch {
+    targets: sync::OnceLock<Targets>,
+}
+
+impl Dispatch {
+    /// Names the duties, once.
+    pub(super) fn set(&self, targets: Targets) {
+        let _ = self.targets.set(targets);
+    }
+}
+
+impl mesh::Receive for Dispatch {
+    fn receive(&self, from: &ids::Vm, body: message::Body) {
+        let Some(targets) = self.targets.get() else { return };
+        match body {
+            message::Body::Batch(batch) => targets.home.batch(from, batch),
+            message::Body::Cancel(cancel) => targets.home.cancel(from, cancel),
+            message::Body::Record(record) => targets.home.record(from, record),
+            message::Body::Replies(replies) => targets.query.replies(from, replies),
+            message::Body::RecordReply(reply) => targets.ledger.record_reply(from, reply),
+            message::Body::Register(register) => targets.ledger.handed(from, register),
+            message::Body::Registered(done) => targets.ledger.registered(from, done),
+            message::Body::Pull(pull) => targets.document.pull(from, pull),
+            message::Body::Pulled(pulled) => targets.document.pulled(from, pulled),
+            message::Body::Hello(_) | message::Body::Beat(_) | message::Body::BeatReply(_) => {}
+        }
+    }
+
+    fn lost(&self, vm: &ids::Vm) {
+        let Some(targets) = self.targets.get() else { return };
+        targets.home.lost(vm);
+        targets.query.lost(vm);
+        targets.ledger.lost(vm);
+    }
+}
+
+/// Hands marks of suspect requests to the quarantine until `stop`.
+pub(super) async fn marks(
+    mut rumours: broadcast::Receiver<member::Rumour>,
+    book: quarantine::Service,
+    stop: CancellationToken,
+) {
+    loop {
+        let heard = tokio::select! {
+            heard = rumours.recv() => heard,
+            () = stop.cancelled() => return,
+        };
+        match heard {
+            Ok(rumour) if rumour.topic == member::Topic::Mark => book.heard(&rumour),
+            Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => {}
+            Err(broadcast::error::RecvError::Closed) => return,
+        }
+    }
+}
+
+impl quarantine::Spread for member::Service {
+    fn publish(&self, rumour: member::Rumour) {
+        self.publish(rumour);
+    }
+}
+
+impl document::Gossip for member::Service {
+    fn publish(&self, rumour: member::Rumour) {
+        self.publish(rumour);
+    }
+
+    fn rumours(&self) -> broadcast::Receiver<member::Rumour> {
+        self.rumours()
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,9 @@
 //! Stand-ins of the platform and of upstreams, and the demo and measurements
 //! that run against them. Nothing here is part of a deployment.
 
+pub mod demo;
+pub mod measure;
 pub mod platform;
 pub mod serve;
+pub mod site;
 pub mod upstream;
--- /dev/null
+++ b/crates/standin/src/measure/fanout.rs
@@ -0,0 +1,39 @@
+//! The same with 240 shards a query.
+
+use std::time;
+
+use geraniumgauge::query;
+
+use crate::measure;
+use crate::measure::straggler;
+use crate::site;
+
+/// The scenario.
+pub const SCENARIO: measure::Scenario = measure::Scenario {
+    name: "fanout",
+    about: "1 in 100 shard calls runs 30 times as long; each query asks 240 shards",
+    baseline: Some(query::Policy::Direct),
+    run: |context| Box::pin(run(context)),
+};
+
+const SERVICE: &str = "wide";
+const SHARDS: usize = 240;
+const RATE: f64 = 20.0;
+const SPAN: time::Duration = time::Duration::from_secs(15);
+const WARM_UP: time::Duration = time::Duration::from_secs(3);
+const DEADLINE: time::Duration = time::Duration::from_millis(1000);
+
+async fn run(context: measure::Context) -> Result<measure::outcome::Outcome, measure::Error> {
+    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
+    config.policy = context.policy;
+    config.seed = context.seed;
+    config.vms = 8;
+    let site = site::Site::start(config).await?;
+    let service = site.service(SERVICE);
+    service.set_faults(|faults| faults.straggler_share = 0.01);
+    straggler::searches(&site, SERVICE, RATE, WARM_UP, context.seed, DEADLINE).await?;
+    let before = service.counts().arrived();
+    let seed = context.seed + 1;
+    let tally = straggler::searches(&site, SERVICE, RATE, SPAN, seed, DEADLINE).await?;
+    Ok(tally.outcome(service.counts().arrived() - before))
+}
--- /dev/null
+++ b/crates/standin/src/measure/mod.rs
@@ -0,0 +1,87 @@
+//! Scenarios that measure the product against its baseline and check its
+//! promises. Times are figures, never verdicts: only a broken promise fails.
+
+pub mod check;
+pub mod load;
+pub mod outcome;
+pub mod tally;
+
+mod fanout;
+mod report;
+mod straggler;
+
+pub use report::Report;
+
+use futures_util::future;
+use geraniumgauge::query;
+
+use crate::site;
+
+/// Why a scenario couldn't be run.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+pub enum Error {
+    /// The site.
+    #[display("site: {_0}")]
+    Site(site::Error),
+    /// A client.
+    #[display("HTTP client: {_0}")]
+    Client(reqwest::Error),
+    /// Something a scenario needs for its own work.
+    #[from(ignore)]
+    #[display("{what}")]
+    #[error(ignore)]
+    Other {
+        /// What couldn't be had.
+        what: String,
+    },
+}
+
+/// What a run is given.
+#[derive(Debug, Clone, Copy)]
+pub struct Context {
+    /// Seeds arrivals and faults.
+    pub seed: u64,
+    /// How fan-outs are run.
+    pub policy: query::Policy,
+}
+
+/// A run under way.
+pub type Run = future::BoxFuture<'static, Result<outcome::Outcome, Error>>;
+
+/// One scenario.
+#[derive(Clone, Copy)]
+pub struct Scenario {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What it does, in a line.
+    pub about: &'static str,
+    /// The policy it is compared with, where it is about searches.
+    pub baseline: Option<query::Policy>,
+    /// Runs it once.
+    pub run: fn(Context) -> Run,
+}
+
+/// All scenarios, in the order in which `all` runs them.
+pub const SCENARIOS: &[Scenario] = &[
+    straggler::SCENARIO,
+    fanout::SCENARIO,
+];
+
+/// The scenario of that name.
+pub fn find(name: &str) -> Option<Scenario> {
+    SCENARIOS.iter().find(|scenario| scenario.name == name).copied()
+}
+
+/// Runs the baseline, where there is one, and then the policy wanted.
+///
+/// # Errors
+/// Where the scenario's site or tools can't be had.
+pub async fn run(scenario: Scenario, context: Context) -> Result<Report, Error> {
+    let baseline = match scenario.baseline {
+        Some(policy) => Some((policy, (scenario.run)(Context { policy, ..context }).await?)),
+        None => None,
+    };
+    let outcome = (scenario.run)(context).await?;
+    Ok(Report::new(scenario.name, context, baseline, outcome))
+}
--- /dev/null
+++ b/crates/standin/src/measure/straggler.rs
@@ -0,0 +1,71 @@
+//! One in a hundred shard calls runs thirty times as long; fan-outs of 20.
+
+use std::time;
+
+use geraniumgauge::query;
+
+use crate::measure;
+use crate::measure::load;
+use crate::measure::tally;
+use crate::site;
+
+/// The scenario.
+pub const SCENARIO: measure::Scenario = measure::Scenario {
+    name: "straggler",
+    about: "1 in 100 shard calls runs 30 times as long; each query asks 20 shards",
+    baseline: Some(query::Policy::Direct),
+    run: |context| Box::pin(run(context)),
+};
+
+const SERVICE: &str = "foreman-search";
+const SHARDS: usize = 20;
+/// Share of the slots' capacity that is asked for.
+const LOAD: f64 = 0.2;
+const SPAN: time::Duration = time::Duration::from_secs(10);
+const WARM_UP: time::Duration = time::Duration::from_secs(2);
+const DEADLINE: time::Duration = time::Duration::from_millis(1000);
+
+async fn run(context: measure::Context) -> Result<measure::outcome::Outcome, measure::Error> {
+    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
+    config.policy = context.policy;
+    config.seed = context.seed;
+    config.vms = 8;
+    let site = site::Site::start(config).await?;
+    let service = site.service(SERVICE);
+    service.set_faults(|faults| {
+        faults.straggler_share = 0.01;
+        faults.straggler_factor = 30.0;
+    });
+    let rate = service.capacity() * LOAD;
+    searches(&site, SERVICE, rate, WARM_UP, context.seed, DEADLINE).await?;
+    let before = service.counts().arrived();
+    let tally = searches(&site, SERVICE, rate, SPAN, context.seed + 1, DEADLINE).await?;
+    Ok(tally.outcome(service.counts().arrived() - before))
+}
+
+/// Sends searches at random times and sums them up.
+pub(super) async fn searches(
+    site: &site::Site,
+    service: &str,
+    rate: f64,
+    span: time::Duration,
+    seed: u64,
+    deadline: time::Duration,
+) -> Result<tally::Tally, measure::Error> {
+    let caller = load::Caller::new(site)?;
+    let service = site.service(service);
+    let samples = load::open_loop(rate, span, seed, |number| {
+        let caller = caller.clone();
+        let id = service.id().clone();
+        let query = serde_json::json!({ "text": format!("query {seed} {}", number % 50) });
+        async move {
+            let sample = caller.search(&id, &query, deadline).await;
+            (query, sample)
+        }
+    });
+    let mut tally = tally::Tally::default();
+    for (query, sample) in samples.await {
+        tally.add(service, &query, &sample);
+    }
+    Ok(tally)
+}
--- /dev/null
+++ b/crates/standin/src/measure/tally.rs
@@ -0,0 +1,116 @@
+//! Sums up the samples of searches.
+
+use std::collections;
+
+use crate::measure::check;
+use crate::measure::load;
+use crate::measure::outcome;
+use crate::site;
+
+/// Highest latency told apart, in microseconds.
+const MOST_US: u64 = 120_000_000;
+
+/// Figures over many searches of one service.
+#[derive(Debug)]
+pub struct Tally {
+    latency: hdrhistogram::Histogram<u64>,
+    sent: u64,
+    answered: u64,
+    in_time: u64,
+    complete: u64,
+    shards: u64,
+    covered: u64,
+    lost: u64,
+    refused: collections::BTreeMap<String, u64>,
+    missing: collections::BTreeMap<String, u64>,
+    violations: Vec<outcome::Violation>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        #[expect(clippy::expect_used, reason = "the bounds are constants")]
+        let latency = hdrhistogram::Histogram::new_with_max(MOST_US, 3).expect("valid bounds");
+        Self {
+            latency,
+            sent: 0,
+            answered: 0,
+            in_time: 0,
+            complete: 0,
+            shards: 0,
+            covered: 0,
+            lost: 0,
+            refused: collections::BTreeMap::new(),
+            missing: collections::BTreeMap::new(),
+            violations: Vec::new(),
+        }
+    }
+}
+
+impl Tally {
+    /// Checks and counts one search.
+    pub fn add(
+        &mut self,
+        service: &site::Service,
+        query: &serde_json::Value,
+        sample: &load::Sample,
+    ) {
+        self.sent += 1;
+        self.violations.extend(check::search(service, query, sample));
+        let Ok(reply) = &sample.reply else {
+            self.lost += 1;
+            return;
+        };
+        if reply.status != 200 {
+            let code = reply.body["error"]["code"].as_str().unwrap_or("none").to_owned();
+            *self.refused.entry(code).or_default() += 1;
+            return;
+        }
+        self.answered += 1;
+        self.in_time += u64::from(sample.took <= sample.deadline);
+        let coverage = &reply.body["coverage"];
+        self.complete += u64::from(coverage["complete"] == true);
+        self.shards += coverage["shards"].as_u64().unwrap_or(0);
+        self.covered += coverage["covered"].as_u64().unwrap_or(0);
+        for missing in coverage["missing"].as_array().into_iter().flatten() {
+            let reason = missing["reason"].as_str().unwrap_or("none").to_owned();
+            *self.missing.entry(reason).or_default() += 1;
+        }
+        let micros = u64::try_from(sample.took.as_micros()).unwrap_or(MOST_US);
+        self.latency.saturating_record(micros);
+    }
+
+    /// Searches sent.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Searches answered within their deadline.
+    pub fn in_time(&self) -> u64 {
+        self.in_time
+    }
+
+    /// The figures and violations. `arrived` counts the shard calls that
+    /// reached upstreams meanwhile.
+    pub fn outcome(self, arrived: u64) -> outcome::Outcome {
+        let mut out = outcome::Outcome::default();
+        let share = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
+        for (name, quantile) in [("p50_ms", 0.5), ("p99_ms", 0.99), ("p999_ms", 0.999)] {
+            out.figure(name, self.latency.value_at_quantile(quantile) as f64 / 1e3);
+        }
+        out.figure("sent", self.sent as f64);
+        out.figure("answered_share", share(self.answered, self.sent));
+        out.figure("in_time_share", share(self.in_time, self.sent));
+        out.figure("complete_share", share(self.complete, self.answered));
+        out.figure("coverage_share", share(self.covered, self.shards));
+        out.figure("lost", self.lost as f64);
+        out.figure("extra_load_share", arrived as f64 / self.shards.max(1) as f64 - 1.0);
+        for (code, count) in &self.refused {
+            out.figure(format!("refused_{code}"), *count as f64);
+        }
+        for (reason, count) in &self.missing {
+            out.figure(format!("missing_{reason}"), *count as f64);
+        }
+        out.violations = self.violations;
+        out
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/serve.rs
@@ -0,0 +1,75 @@
+//! A site's upstreams as one process, made known to a platform elsewhere.
+
+use geraniumgauge::ids;
+use geraniumgauge::layout;
+use geraniumgauge::metrics;
+use geraniumgauge::store;
+use geraniumgauge::store::Api as _;
+use geraniumgauge::time::Clock;
+
+use crate::site;
+
+/// Why a site's upstreams can't be served.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+pub enum Error {
+    /// An upstream can't listen.
+    #[display("an upstream can't listen: {_0}")]
+    Listen(std::io::Error),
+    /// The platform doesn't take the layouts or documents.
+    #[display("{_0}")]
+    Store(store::Error),
+    /// The client's metrics can't be set up.
+    #[display("{_0}")]
+    Metrics(metrics::Error),
+}
+
+/// Starts a site's upstreams and puts its layouts, and documents where there
+/// are none yet, into the platform's store.
+///
+/// # Errors
+/// Where an upstream can't listen or the platform can't be reached.
+pub async fn serve(
+    name: site::Name,
+    platform: &str,
+    data_centres: usize,
+    first_port: Option<u16>,
+) -> Result<Vec<site::Service>, Error> {
+    let meter = metrics::Metrics::new()?.meter();
+    let store = store::Client::new(platform.to_owned(), Clock::start(), &meter)?;
+    let mut services = Vec::new();
+    let mut port = first_port;
+    for (number, spec) in name.services().into_iter().enumerate() {
+        let mut service = site::Service::start(spec, data_centres, number as u64, port).await?;
+        service.layout.version = next_version(&store, service.id()).await?;
+        let taken = u16::try_from(service.upstreams.len()).unwrap_or(u16::MAX);
+        port = port.map(|port| port.saturating_add(taken));
+        for (key, body) in service.objects() {
+            put(&store, &key, body).await?;
+        }
+        services.push(service);
+    }
+    Ok(services)
+}
+
+/// One above the version that the store holds: a VM never applies an equal one.
+async fn next_version(
+    store: &store::Client,
+    service: &ids::Service,
+) -> Result<ids::LayoutVersion, store::Error> {
+    let held = match store.get(&layout::key(service)).await {
+        Ok(object) => serde_json::from_slice::<layout::Layout>(&object.body).ok(),
+        Err(store::Error::Missing { .. }) => None,
+        Err(error) => return Err(error),
+    };
+    Ok(ids::LayoutVersion(held.map_or(1, |layout| layout.version.0 + 1)))
+}
+
+async fn put(store: &store::Client, key: &str, body: bytes::Bytes) -> Result<(), store::Error> {
+    let layout = key.starts_with("layouts/");
+    let condition = if layout { store::Condition::Any } else { store::Condition::Absent };
+    match store.put(key, body, condition).await {
+        Ok(_) | Err(store::Error::Conflict { .. }) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
--- a/crates/standin/src/upstream/state.rs
+++ b/crates/standin/src/upstream/state.rs
@@ -39,6 +39,29 @@
     pub running_peak: u64,
 }
 
+impl Counts {
+    /// Adds another upstream's counts; of peaks the higher one stays.
+    pub fn add(&mut self, other: &Self) {
+        self.started += other.started;
+        self.finished += other.finished;
+        self.cancelled += other.cancelled;
+        self.shed += other.shed;
+        self.refused_draining += other.refused_draining;
+        self.arrived_draining += other.arrived_draining;
+        self.crashes += other.crashes;
+        self.cut += other.cut;
+        self.connections += other.connections;
+        self.connections_refused += other.connections_refused;
+        self.connections_peak = self.connections_peak.max(other.connections_peak);
+        self.running_peak = self.running_peak.max(other.running_peak);
+    }
+
+    /// Search calls that reached the upstream, whatever became of them.
+    pub fn arrived(&self) -> u64 {
+        self.started + self.shed + self.refused_draining
+    }
+}
+
 /// One record that this upstream ran.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Run {
