--- /dev/null
+++ b/crates/geraniumgauge/src/ledger/book.rs
@@ -0,0 +1,48 @@
+//! What the ledger asks about requests that crash upstreams.
+
+use crate::ids;
+use crate::quarantine;
+use crate::query;
+
+/// Says whether a registration may run.
+#[async_trait::async_trait]
+pub trait Book: Send + Sync {
+    /// The right to run a suspect, or `None` where the registration may run
+    /// freely. Asked before the claim.
+    ///
+    /// # Errors
+    /// Where it may not run now, or not at all; nothing has run.
+    async fn admit(
+        &self,
+        service: &ids::Service,
+        fingerprint: ids::Fingerprint,
+    ) -> Result<Option<quarantine::Trial>, query::Refusal>;
+}
+
+#[async_trait::async_trait]
+impl Book for quarantine::Service {
+    async fn admit(
+        &self,
+        service: &ids::Service,
+        fingerprint: ids::Fingerprint,
+    ) -> Result<Option<quarantine::Trial>, query::Refusal> {
+        match self.verdict(service, fingerprint) {
+            quarantine::Verdict::Clear => Ok(None),
+            quarantine::Verdict::Quarantined => Err(quarantined()),
+            quarantine::Verdict::Suspect => match self.trial(service, fingerprint).await {
+                Ok(trial) => Ok(Some(trial)),
+                Err(quarantine::Denied::Quarantined) => Err(quarantined()),
+                Err(quarantine::Denied::Later { after }) => {
+                    let text = "the record may crash upstreams and has to wait for a trial";
+                    let refusal = query::Refusal::not_run(query::Code::Unavailable, text);
+                    Err(refusal.retry_after(after))
+                }
+            },
+        }
+    }
+}
+
+fn quarantined() -> query::Refusal {
+    let text = "the record is held to crash upstreams; see its mark before sending it again";
+    query::Refusal::not_run(query::Code::Quarantined, text)
+}
--- a/crates/geraniumgauge/src/ledger/bucket.rs
+++ b/crates/geraniumgauge/src/ledger/bucket.rs
@@ -41,7 +41,11 @@
 }
 
 enum Ask {
-    Submit(commit::Ticket, commit::Change, oneshot::Sender<commit::Verdict>),
+    Submit(
+        commit::Ticket,
+        commit::Change,
+        oneshot::Sender<commit::Verdict>,
+    ),
     Abandon(commit::Ticket, ids::Key, head::Entry),
     Drained(oneshot::Sender<()>),
 }
--- a/crates/geraniumgauge/src/ledger/commit.rs
+++ b/crates/geraniumgauge/src/ledger/commit.rs
@@ -186,11 +186,6 @@
         self.failures >= PATIENCE
     }
 
-    /// Changes that wait.
-    pub(super) fn waiting(&self) -> usize {
-        self.queue.len()
-    }
-
     /// The head as last known, with its size in bytes.
     pub(super) fn head(&self) -> Option<(&head::Head, usize)> {
         let known = self.known.as_ref()?;
--- a/crates/geraniumgauge/src/ledger/head.rs
+++ b/crates/geraniumgauge/src/ledger/head.rs
@@ -13,24 +13,35 @@
 pub const MAX_RESULT: usize = 16 * 1024;
 
 /// Names one attempt at one claim; no other attempt ever has the same.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
-#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display,
+    serde::Serialize,
+    serde::Deserialize,
+)]
 #[serde(transparent)]
-pub struct Token(String);
+pub(super) struct Token(String);
 
 impl Token {
     /// The token of `attempt` of one start of `vm`.
-    pub fn new(vm: &ids::Vm, incarnation: ids::Incarnation, attempt: ids::Attempt) -> Self {
+    pub(super) fn new(vm: &ids::Vm, incarnation: ids::Incarnation, attempt: ids::Attempt) -> Self {
         Self(format!("{vm}/{incarnation}/{attempt}"))
     }
 }
 
 /// Where a claim stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, serde::Serialize, serde::Deserialize,
+)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
-pub enum State {
+pub(super) enum State {
     /// It may be sent, is being run, or its end isn't known.
     Claimed,
     /// It has run, once.
@@ -42,22 +53,22 @@
 
 /// One claim.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
-pub struct Entry {
+pub(super) struct Entry {
     /// Who may send it.
-    pub token: Token,
+    pub(super) token: Token,
     /// The caller's request that it was created for.
-    pub request: ids::Request,
+    pub(super) request: ids::Request,
     /// What the caller asked for.
-    pub fingerprint: ids::Fingerprint,
+    pub(super) fingerprint: ids::Fingerprint,
     /// When it was created, by the claimant's clock.
-    pub since: time::Wall,
+    pub(super) since: time::Wall,
     /// The upstream that it was last sent to, or is about to be.
-    pub upstream: ids::Upstream,
+    pub(super) upstream: ids::Upstream,
     /// Where it stands.
-    pub state: State,
+    pub(super) state: State,
     /// The upstream's result, where done and not above [`MAX_RESULT`].
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub result: Option<Box<serde_json::value::RawValue>>,
+    pub(super) result: Option<Box<serde_json::value::RawValue>>,
 }
 
 /// An object with older entries of a bucket. Pages are never changed.
--- a/crates/geraniumgauge/src/ledger/key.rs
+++ b/crates/geraniumgauge/src/ledger/key.rs
@@ -52,9 +52,11 @@
     let mut parts = text.split('-');
     let lengths = [8, 4, 4, 4, 12];
     let hex = |part: &str| part.bytes().all(|byte| byte.is_ascii_hexdigit());
-    let fits = lengths
-        .iter()
-        .all(|len| parts.next().is_some_and(|part| part.len() == *len && hex(part)));
+    let fits = lengths.iter().all(|len| {
+        parts
+            .next()
+            .is_some_and(|part| part.len() == *len && hex(part))
+    });
     if !fits || parts.next().is_some() || text.as_bytes().get(14) != Some(&b'7') {
         return None;
     }
--- a/crates/geraniumgauge/src/ledger/pages.rs
+++ b/crates/geraniumgauge/src/ledger/pages.rs
@@ -99,13 +99,22 @@
     let old = |page: &&head::Page| {
         page.times.is_none() && !page.hashes && wall.since(page.newest) > window + SKEW
     };
-    let pages: Vec<_> = head.pages.iter().filter(old).take(BURIED).cloned().collect();
+    let pages: Vec<_> = head
+        .pages
+        .iter()
+        .filter(old)
+        .take(BURIED)
+        .cloned()
+        .collect();
     (pages.len() == BURIED).then_some(pages)
 }
 
 /// The page of hashes that replaces `entries` of old pages.
 pub(super) fn bury(prefix: &str, pages: &[head::Entries]) -> (head::Page, bytes::Bytes) {
-    let mut hashes: Vec<_> = pages.iter().flat_map(|page| page.keys().map(key::hash)).collect();
+    let mut hashes: Vec<_> = pages
+        .iter()
+        .flat_map(|page| page.keys().map(key::hash))
+        .collect();
     hashes.sort_unstable();
     hashes.dedup();
     let body: Vec<u8> = hashes.iter().flat_map(|hash| hash.to_le_bytes()).collect();
--- a/crates/geraniumgauge/src/ledger/send.rs
+++ b/crates/geraniumgauge/src/ledger/send.rs
@@ -9,6 +9,7 @@
 
 use crate::ids;
 use crate::mesh::message;
+use crate::quarantine;
 use crate::query;
 use crate::time as clock;
 
@@ -59,6 +60,8 @@
     current: (ids::Upstream, Home),
     rest: collections::VecDeque<ids::Upstream>,
     deadline: clock::Moment,
+    /// The upstream's connection was lost while it ran.
+    crashed: bool,
 }
 
 impl Sending {
@@ -72,6 +75,17 @@
             current: (first, Home::Primary),
             rest: rest.into_iter().collect(),
             deadline,
+            crashed: false,
+        }
+    }
+
+    /// What its end says of a lone trial.
+    pub(super) fn trial_end(&self, end: &End) -> quarantine::trial::End {
+        match end {
+            End::Done(_) => quarantine::trial::End::Completed,
+            End::NotRun(_) => quarantine::trial::End::NotRun,
+            End::Unknown(_) if self.crashed => quarantine::trial::End::Lost,
+            End::Unknown(_) => quarantine::trial::End::Unknown,
         }
     }
 
@@ -105,7 +119,10 @@
             Event::Reply(outcome, _) if outcome.not_run() => {
                 self.other_replica(now, pay, refusal(outcome))
             }
-            Event::Reply(outcome, _) => Action::End(End::Unknown(unknown(outcome))),
+            Event::Reply(outcome, _) => {
+                self.crashed = outcome == Outcome::Lost;
+                Action::End(End::Unknown(unknown(outcome)))
+            }
             Event::Lost => {
                 let text = "the link to the VM that sends the record was lost";
                 let refusal = query::Refusal::unknown(query::Code::Unavailable, text);
--- a/crates/geraniumgauge/src/ledger/tests/key.rs
+++ b/crates/geraniumgauge/src/ledger/tests/key.rs
@@ -17,7 +17,13 @@
 #[test]
 fn other_keys_have_no_time() {
     let random = "0193871e-5b7a-4abc-8def-0123456789ab";
-    for text in [random, "lot-7", "t1764719093000", "t17647190930001-x", "t1764"] {
+    for text in [
+        random,
+        "lot-7",
+        "t1764719093000",
+        "t17647190930001-x",
+        "t1764",
+    ] {
         assert_eq!(time(&key(text)), None, "{text}");
     }
 }
