Documents: table, checks, the keeper's decision

Cause: edits must be checked whole and never fall back. Change: parse by the table with rules between fields; keeper::decide with a property over edits, late writes and set-backs; status as operators read it.

--- a/crates/geraniumgauge/src/document/mod.rs
+++ b/crates/geraniumgauge/src/document/mod.rs
@@ -1,12 +1,57 @@
 //! Service documents: what a team's service needs, and what is in force.
+//!
+//! A team's text stands in the store as `documents/{service}`. A keeper checks
+//! it and writes `accepted/{service}` with the next generation; VMs apply
+//! accepted generations only, and only upwards. `status/{service}` tells
+//! operators what became of the text and where it is in force.
 
 mod catalog;
+mod fields;
+pub mod keeper;
 mod schema;
+mod status;
 
 pub use catalog::Catalog;
 pub use catalog::InForce;
+pub use fields::Difference;
+pub use fields::differences;
+pub use fields::help;
+pub use fields::parse;
 pub use schema::Budgets;
 pub use schema::Document;
 pub use schema::Limits;
 pub use schema::Objective;
 pub use schema::Slo;
+pub use status::MAX_BEHIND;
+pub use status::Status;
+pub use status::Verdict;
+
+use crate::ids;
+
+/// Prefix of the teams' texts.
+pub const TEXTS: &str = "documents/";
+/// Prefix of the accepted records.
+pub const ACCEPTED: &str = "accepted/";
+/// Prefix of the status objects.
+pub const STATUS: &str = "status/";
+/// Prefix of the layouts.
+pub const LAYOUTS: &str = "layouts/";
+
+/// Store key of a service's text.
+pub fn text_key(service: &ids::Service) -> String {
+    format!("{TEXTS}{service}")
+}
+
+/// Store key of a service's accepted record.
+pub fn accepted_key(service: &ids::Service) -> String {
+    format!("{ACCEPTED}{service}")
+}
+
+/// Store key of a service's status.
+pub fn status_key(service: &ids::Service) -> String {
+    format!("{STATUS}{service}")
+}
+
+#[cfg(test)]
+#[path = "tests/fields.rs"]
+mod tests;
--- a/crates/geraniumgauge/src/jsonc/read.rs
+++ b/crates/geraniumgauge/src/jsonc/read.rs
@@ -23,6 +23,11 @@
         self.places.get(path).unwrap_or(&self.root).clone()
     }
 
+    /// Whether the text holds the field at `path`.
+    pub fn has(&self, path: &str) -> bool {
+        self.places.contains_key(path)
+    }
+
     /// Adds a finding at the place of `path`, for rules between fields.
     pub fn add(&mut self, path: &str, problem: impl Into<String>, remedy: impl Into<String>) {
         self.findings.push(finding::Finding {
