Documents: spread, readiness, keeper and status

Cause: an accepted document must be in force everywhere in seconds and never fall back, with the store's calls bounded at the fleet's size. Change: two watchers a data centre follow the store; others hear by rumour and pull from peers; digests are compared every two seconds; each VM reports to the keeper alone (O(n) instead of a rumour per VM, O(n^2)). document::Service::start takes config, Parts and the meter.

--- a/crates/geraniumgauge/src/document/catalog.rs
+++ b/crates/geraniumgauge/src/document/catalog.rs
@@ -53,6 +53,19 @@
         self.read().get(service)?.in_force()
     }
 
+    /// The document in force, whether or not a layout is known.
+    pub fn document(
+        &self,
+        service: &ids::Service,
+    ) -> Option<(ids::Generation, sync::Arc<document::Document>)> {
+        self.read().get(service)?.document.clone()
+    }
+
+    /// The layout in force, whether or not a document is known.
+    pub fn layout(&self, service: &ids::Service) -> Option<layout::Shared> {
+        self.read().get(service)?.layout.clone()
+    }
+
     /// Every service that has both a document and a layout.
     pub fn all(&self) -> Vec<(ids::Service, InForce)> {
         let services = self.read();
--- /dev/null
+++ b/crates/geraniumgauge/src/document/held.rs
@@ -0,0 +1,188 @@
+//! The documents and layouts that one VM holds, as they travel between VMs.
+
+use std::collections;
+
+use crate::document;
+use crate::ids;
+use crate::layout;
+use crate::mesh::message;
+
+/// One versioned part of a service: its document or its layout.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Part {
+    /// Generation or layout version; 0 where there is none.
+    pub(super) version: u64,
+    /// The part as JSON.
+    pub(super) body: bytes::Bytes,
+    /// Version of the store's object that held it; 0 where not known.
+    pub(super) object: ids::ObjectVersion,
+}
+
+/// Which part of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+pub(super) enum Kind {
+    /// The accepted document.
+    #[display("document")]
+    Document,
+    /// The layout.
+    #[display("layout")]
+    Layout,
+}
+
+/// Both parts of a service.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Parts {
+    pub(super) document: Part,
+    pub(super) layout: Part,
+}
+
+/// A part once its JSON is read.
+#[derive(Debug, Clone)]
+pub(super) enum Content {
+    /// A document of this generation.
+    Document(ids::Generation, Box<document::Document>),
+    /// A layout.
+    Layout(layout::Layout),
+}
+
+/// Everything one VM holds.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Held {
+    services: collections::BTreeMap<ids::Service, Parts>,
+}
+
+impl Parts {
+    pub(super) fn get(&self, kind: Kind) -> &Part {
+        match kind {
+            Kind::Document => &self.document,
+            Kind::Layout => &self.layout,
+        }
+    }
+
+    fn get_mut(&mut self, kind: Kind) -> &mut Part {
+        match kind {
+            Kind::Document => &mut self.document,
+            Kind::Layout => &mut self.layout,
+        }
+    }
+}
+
+impl Held {
+    /// Takes `part` where it is newer than what is held and can be read.
+    pub(super) fn offer(
+        &mut self,
+        service: &ids::Service,
+        kind: Kind,
+        part: Part,
+    ) -> Option<Content> {
+        let present = self.version(service, kind);
+        if part.version == present && part.version > 0 && part.object > ids::ObjectVersion(0) {
+            let parts = self.services.entry(service.clone()).or_default();
+            parts.get_mut(kind).object = part.object;
+        }
+        if part.version <= present {
+            return None;
+        }
+        let content = match read(kind, &part) {
+            Ok(content) => content,
+            Err(error) => {
+                log::error!(
+                    "the {kind} {} of {service} can't be read: {error}",
+                    part.version
+                );
+                return None;
+            }
+        };
+        let parts = self.services.entry(service.clone()).or_default();
+        *parts.get_mut(kind) = part;
+        Some(content)
+    }
+
+    /// The version held; 0 where there is none.
+    pub(super) fn version(&self, service: &ids::Service, kind: Kind) -> u64 {
+        self.services
+            .get(service)
+            .map_or(0, |parts| parts.get(kind).version)
+    }
+
+    /// The store's object of the part held; 0 where not known.
+    pub(super) fn object(&self, service: &ids::Service, kind: Kind) -> ids::ObjectVersion {
+        let none = ids::ObjectVersion(0);
+        self.services
+            .get(service)
+            .map_or(none, |parts| parts.get(kind).object)
+    }
+
+    /// The services of which something is held.
+    pub(super) fn services(&self) -> impl Iterator<Item = &ids::Service> {
+        self.services.keys()
+    }
+
+    /// What is applied, for reports and comparisons.
+    pub(super) fn have(&self) -> Vec<message::Have> {
+        let have = |(service, parts): (&ids::Service, &Parts)| message::Have {
+            service: service.to_string(),
+            generation: parts.document.version,
+            layout: parts.layout.version,
+        };
+        self.services.iter().map(have).collect()
+    }
+
+    /// A digest of [`Self::have`], never 0. Equal digests mean equal versions.
+    pub(super) fn digest(&self) -> u64 {
+        digest(&self.have())
+    }
+
+    /// The parts of `service` for a peer.
+    pub(super) fn entry(&self, service: &ids::Service) -> Option<message::Entry> {
+        let parts = self.services.get(service)?;
+        Some(message::Entry {
+            service: service.to_string(),
+            generation: parts.document.version,
+            document: parts.document.body.clone(),
+            layout: parts.layout.body.clone(),
+            document_object: parts.document.object.0,
+            layout_version: parts.layout.version,
+            layout_object: parts.layout.object.0,
+        })
+    }
+}
+
+/// The digest of a report, never 0.
+pub(super) fn digest(have: &[message::Have]) -> u64 {
+    use prost::Message as _;
+    let whole = message::Pull {
+        services: Vec::new(),
+        digest: 0,
+        have: have.to_vec(),
+    };
+    xxhash_rust::xxh3::xxh3_64(&whole.encode_to_vec()) | 1
+}
+
+/// The two parts of an entry that a peer sent.
+pub(super) fn parts(entry: message::Entry) -> [(Kind, Part); 2] {
+    let document = Part {
+        version: entry.generation,
+        body: entry.document,
+        object: ids::ObjectVersion(entry.document_object),
+    };
+    let layout = Part {
+        version: entry.layout_version,
+        body: entry.layout,
+        object: ids::ObjectVersion(entry.layout_object),
+    };
+    [(Kind::Document, document), (Kind::Layout, layout)]
+}
+
+fn read(kind: Kind, part: &Part) -> Result<Content, serde_json::Error> {
+    match kind {
+        Kind::Document => {
+            let document = serde_json::from_slice(&part.body)?;
+            Ok(Content::Document(
+                ids::Generation(part.version),
+                Box::new(document),
+            ))
+        }
+        Kind::Layout => serde_json::from_slice(&part.body).map(Content::Layout),
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/document/instruments.rs
@@ -0,0 +1,68 @@
+//! Metrics of the document service.
+
+use std::sync;
+use std::sync::atomic;
+
+use opentelemetry::metrics;
+
+use crate::document;
+use crate::document::held;
+use crate::time;
+
+/// The instruments; the label `service` is from the fixed set of documents.
+#[derive(Debug)]
+pub(super) struct Instruments {
+    applied: metrics::Counter<u64>,
+    looks: metrics::Counter<u64>,
+    /// Milliseconds of the clock at the store's last answer.
+    answered: sync::Arc<atomic::AtomicU64>,
+}
+
+impl Instruments {
+    pub(super) fn new(meter: &metrics::Meter, catalog: &document::Catalog) -> Self {
+        let catalog = catalog.clone();
+        let generations = meter.u64_observable_gauge("document_generation");
+        generations
+            .with_description("generation in force of each service")
+            .with_callback(move |observer| {
+                for (service, in_force) in catalog.all() {
+                    let label = opentelemetry::KeyValue::new("service", service.to_string());
+                    observer.observe(in_force.generation.0, &[label]);
+                }
+            })
+            .build();
+        let answered = sync::Arc::new(atomic::AtomicU64::new(0));
+        let seen = answered.clone();
+        let last = meter.u64_observable_gauge("document_store_answered_ms");
+        last.with_description("wall clock of the store's last listing, ms since the epoch")
+            .with_callback(move |observer| {
+                observer.observe(seen.load(atomic::Ordering::Relaxed), &[])
+            })
+            .build();
+        let applied = meter.u64_counter("document_applied");
+        let looks = meter.u64_counter("document_keeper_looks");
+        Self {
+            applied: applied
+                .with_description("documents and layouts put in force")
+                .build(),
+            looks: looks
+                .with_description("services that the keeper looked at")
+                .build(),
+            answered,
+        }
+    }
+
+    pub(super) fn applied(&self, kind: held::Kind) {
+        let label = opentelemetry::KeyValue::new("kind", kind.to_string());
+        self.applied.add(1, &[label]);
+    }
+
+    pub(super) fn looked(&self) {
+        self.looks.add(1, &[]);
+    }
+
+    pub(super) fn store_answered(&self, clock: time::Clock) {
+        self.answered
+            .store(clock.wall().0, atomic::Ordering::Relaxed);
+    }
+}
--- a/crates/geraniumgauge/src/document/mod.rs
+++ b/crates/geraniumgauge/src/document/mod.rs
@@ -7,9 +7,19 @@
 
 mod catalog;
 mod fields;
+mod held;
+mod instruments;
+mod join;
+mod keep;
 pub mod keeper;
+mod layout_text;
+mod load;
+mod roles;
 mod schema;
+mod service;
+mod spread;
 mod status;
+mod tally;
 
 pub use catalog::Catalog;
 pub use catalog::InForce;
@@ -17,11 +27,17 @@
 pub use fields::differences;
 pub use fields::help;
 pub use fields::parse;
+pub use layout_text::parse_layout;
+use layout_text::stale_layout;
 pub use schema::Budgets;
 pub use schema::Document;
 pub use schema::Limits;
 pub use schema::Objective;
 pub use schema::Slo;
+pub use service::Config;
+pub use service::Gossip;
+pub use service::Parts;
+pub use service::Service;
 pub use status::MAX_BEHIND;
 pub use status::Status;
 pub use status::Verdict;
--- a/crates/geraniumgauge/src/layout.rs
+++ b/crates/geraniumgauge/src/layout.rs
@@ -82,6 +82,17 @@
     },
 }
 
+impl Error {
+    /// The shard or upstream that is wrong.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Unknown { upstream, .. } | Self::Useless { upstream } => upstream.as_str(),
+            Self::Bare { shard } => shard.as_str(),
+            Self::Twice { name } => name,
+        }
+    }
+}
+
 impl Layout {
     /// Everything wrong with the layout; empty where it can be used.
     pub fn check(&self) -> Vec<Error> {
