--- a/crates/geraniumgauge/src/member/mod.rs
+++ b/crates/geraniumgauge/src/member/mod.rs
@@ -1,7 +1,15 @@
-//! Membership: which VMs are there, as this VM sees it.
+//! Membership: which VMs are there, as this VM sees it, and the rumours that
+//! members pass on with their probes.
 
+mod count;
+mod digest;
+mod queue;
+pub mod record;
 mod service;
+pub mod settings;
+pub mod state;
 mod view;
+pub mod wire;
 
 pub use service::Config;
 pub use service::Service;
--- /dev/null
+++ b/crates/geraniumgauge/src/member/state/gossip.rs
@@ -0,0 +1,219 @@
+//! Passing news on, within the bytes that may be spent.
+
+use std::net;
+use std::sync;
+
+use prost::Message as _;
+
+use crate::ids;
+use crate::member;
+use crate::member::digest;
+use crate::member::queue;
+use crate::member::record;
+use crate::member::state;
+use crate::member::wire;
+use crate::time;
+
+/// Bytes that one embedded message takes besides its own: tag and length.
+const EMBEDDED: usize = 3;
+
+/// Largest rumour, in bytes; a larger one would crowd out all others.
+const RUMOUR: usize = 1024;
+
+impl state::State {
+    /// Takes in a rumour, of this VM's own duties or of others.
+    pub(super) fn hear(&mut self, rumour: member::Rumour) {
+        if wire::Rumour::from(&rumour).encoded_len() > RUMOUR {
+            log::error!(
+                "membership: a rumour on {} of {} bytes is dropped; the limit is {RUMOUR}",
+                rumour.key,
+                rumour.body.len()
+            );
+            return;
+        }
+        let key: sync::Arc<str> = rumour.key.as_str().into();
+        let held = self.rumours.get(&(rumour.topic, sync::Arc::clone(&key)));
+        if held.is_some_and(|held| held.version >= rumour.version) {
+            return;
+        }
+        let (name, new) = (subject(&rumour), fingerprint(&rumour));
+        if let Some(held) = held {
+            self.digest.toggle(name, fingerprint(held));
+        } else {
+            self.make_room(rumour.topic);
+        }
+        self.digest.toggle(name, new);
+        let topic = rumour.topic;
+        self.urgent |= topic != member::Topic::Applied;
+        self.queue
+            .add(queue::Subject::Rumour(topic, sync::Arc::clone(&key)));
+        self.rumours.insert((topic, key), rumour.clone());
+        self.actions.push(state::Action::Heard(rumour));
+    }
+
+    /// Bounds the rumours of a topic: the first key makes room.
+    fn make_room(&mut self, topic: member::Topic) {
+        if self.rumours.len() < self.settings.rumours {
+            return;
+        }
+        let first = (topic, sync::Arc::from(""));
+        let of_topic = self.rumours.range(first..);
+        let of_topic = of_topic.take_while(|((held, _), _)| *held == topic);
+        let keys: Vec<_> = of_topic
+            .map(|((_, key), _)| sync::Arc::clone(key))
+            .collect();
+        if keys.len() >= self.settings.rumours {
+            self.forget_rumour(topic, &keys[0]);
+        }
+    }
+
+    pub(super) fn forget_rumour(&mut self, topic: member::Topic, key: &str) {
+        let key: sync::Arc<str> = key.into();
+        if let Some(held) = self.rumours.remove(&(topic, sync::Arc::clone(&key))) {
+            self.digest.toggle(subject(&held), fingerprint(&held));
+            self.queue.remove(&queue::Subject::Rumour(topic, key));
+        }
+    }
+
+    /// Tells news to a few random members, where there is news.
+    pub(super) fn gossip(&mut self, now: time::Moment) {
+        if self.queue.len() == 0 {
+            return;
+        }
+        for (vm, address) in self.pick(self.settings.fanout, |_| true) {
+            if self.queue.len() > 0 {
+                self.send(address, Some(&vm), None, now);
+            }
+        }
+    }
+
+    /// Sends a datagram with as much news as fits it and the budget. Probes and
+    /// answers go without news where the budget is spent: they are few, and
+    /// must not wait for gossip.
+    pub(super) fn send(
+        &mut self,
+        to: net::SocketAddr,
+        vm: Option<&ids::Vm>,
+        kind: Option<wire::Kind>,
+        now: time::Moment,
+    ) {
+        let mut parcel = self.parcel(kind, vm);
+        let bare = parcel.clone();
+        let told = self.fill(&mut parcel);
+        let affordable = self.budget.take(parcel.cost(), now);
+        if affordable {
+            let limit = self.retransmissions();
+            told.iter()
+                .for_each(|subject| self.queue.told(subject, limit));
+            self.post(to, parcel);
+        } else if bare.datagram.kind.is_some() {
+            self.post(to, bare);
+        }
+    }
+
+    pub(super) fn post(&mut self, to: net::SocketAddr, parcel: Parcel) {
+        self.figures.datagrams += 1;
+        self.figures.bytes += (parcel.size + wire::HEADERS) as u64;
+        let datagram = parcel.datagram;
+        self.actions.push(state::Action::Send { to, datagram });
+    }
+
+    /// A datagram to `vm` with what is thought of it, if that's for it to refute.
+    pub(super) fn parcel(&self, kind: Option<wire::Kind>, vm: Option<&ids::Vm>) -> Parcel {
+        let mut datagram = wire::Datagram {
+            from: Some(wire::Saying::from(&self.own)),
+            kind,
+            ..wire::Datagram::default()
+        };
+        let record = vm.and_then(|vm| self.record(vm));
+        let accused = record.filter(|record| record.health != record::Health::Alive);
+        datagram.sayings.extend(accused.map(wire::Saying::from));
+        Parcel {
+            size: datagram.encoded_len(),
+            datagram,
+        }
+    }
+
+    fn fill(&self, parcel: &mut Parcel) -> Vec<queue::Subject> {
+        let mut told = Vec::new();
+        for subject in self.queue.next() {
+            if !self.add(parcel, subject) {
+                break;
+            }
+            told.push(subject.clone());
+        }
+        told
+    }
+
+    /// Adds what is held of `subject`; false where it doesn't fit.
+    pub(super) fn add(&self, parcel: &mut Parcel, subject: &queue::Subject) -> bool {
+        match subject {
+            // Its own record is in every datagram.
+            queue::Subject::Vm(vm) if *vm == self.own.vm => true,
+            queue::Subject::Vm(vm) => {
+                let record = self.record(vm);
+                record.is_none_or(|record| parcel.say(record))
+            }
+            queue::Subject::Rumour(topic, key) => {
+                let held = self.rumours.get(&(*topic, sync::Arc::clone(key)));
+                held.is_none_or(|rumour| parcel.tell(rumour))
+            }
+        }
+    }
+
+    fn retransmissions(&self) -> u32 {
+        let rounds = ((self.live + 2) as f64).log2().ceil() as u32;
+        self.settings.retransmit * rounds.max(1)
+    }
+}
+
+/// A datagram that is being filled.
+#[derive(Debug, Clone)]
+pub(super) struct Parcel {
+    pub(super) datagram: wire::Datagram,
+    size: usize,
+}
+
+impl Parcel {
+    /// What it costs of the budget, in bytes.
+    pub(super) fn cost(&self) -> f64 {
+        (self.size + wire::HEADERS) as f64
+    }
+
+    fn say(&mut self, record: &record::Record) -> bool {
+        let saying = wire::Saying::from(record);
+        let fits = self.grow(saying.encoded_len());
+        if fits {
+            self.datagram.sayings.push(saying);
+        }
+        fits
+    }
+
+    fn tell(&mut self, rumour: &member::Rumour) -> bool {
+        let rumour = wire::Rumour::from(rumour);
+        let fits = self.grow(rumour.encoded_len());
+        if fits {
+            self.datagram.rumours.push(rumour);
+        }
+        fits
+    }
+
+    fn grow(&mut self, len: usize) -> bool {
+        let size = self.size + len + EMBEDDED;
+        let fits = size <= wire::MAX;
+        if fits {
+            self.size = size;
+        }
+        fits
+    }
+}
+
+/// The hash that picks a rumour's bucket.
+pub(super) fn subject(rumour: &member::Rumour) -> u64 {
+    digest::name(1 + rumour.topic as u64, &rumour.key)
+}
+
+fn fingerprint(rumour: &member::Rumour) -> u64 {
+    let version = rumour.version.to_be_bytes();
+    xxhash_rust::xxh3::xxh3_64_with_seed(&version, subject(rumour))
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/member/state/mod.rs
@@ -0,0 +1,468 @@
+//! The membership of one VM as a state machine: probes, suspicion, gossip.
+//!
+//! SWIM with these additions: a record that says a VM is suspect or dead is
+//! shown to that VM itself with each datagram, so that it refutes without
+//! waiting for gossip; a VM that was paused doesn't take its own silence for
+//! that of others; the dead are tried now and then, so that parted regions find
+//! each other again; what gossip missed is found by comparing hashes.
+
+mod gossip;
+mod join;
+mod leave;
+mod probing;
+mod sync;
+
+use std::collections;
+use std::net;
+use std::sync as shared;
+use std::time as spans;
+
+use rand::SeedableRng as _;
+use rand::seq::IteratorRandom as _;
+
+use crate::ids;
+use crate::member;
+use crate::member::digest;
+use crate::member::queue;
+use crate::member::record;
+use crate::member::settings;
+use crate::member::wire;
+use crate::rate;
+use crate::store;
+use crate::time;
+
+/// What happens to a member.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A datagram came.
+    Datagram {
+        /// Where from.
+        from: net::SocketAddr,
+        /// What it says.
+        datagram: wire::Datagram,
+    },
+    /// The platform's list was read.
+    Listed(Vec<store::Vm>),
+    /// A duty of this VM has news.
+    Publish(member::Rumour),
+    /// This VM is about to stop.
+    Leave,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send a datagram.
+    Send {
+        /// Where to.
+        to: net::SocketAddr,
+        /// What.
+        datagram: wire::Datagram,
+    },
+    /// The view has changed.
+    View(member::Shared),
+    /// A rumour is new to this VM.
+    Heard(member::Rumour),
+    /// The leaving is announced to as many members as it takes.
+    Announced,
+    /// Another live process at this address bears this VM's name and started later.
+    Twin(net::SocketAddr),
+}
+
+/// Figures since the start; `live`, `suspect`, `dead`, `queued` and `rumours` are as of now.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Members held to be there, this VM among them.
+    pub live: u64,
+    /// Of these, suspects.
+    pub suspect: u64,
+    /// Of these, leaving.
+    pub leaving: u64,
+    /// The dead that are remembered.
+    pub dead: u64,
+    /// News waiting to be told.
+    pub queued: u64,
+    /// Rumours held.
+    pub rumours: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Probes that nobody answered.
+    pub failed: u64,
+    /// Suspicions of this VM that it refuted.
+    pub refutations: u64,
+    /// VMs taken as dead.
+    pub deaths: u64,
+    /// Datagrams sent.
+    pub datagrams: u64,
+    /// Bytes sent, headers included.
+    pub bytes: u64,
+    /// Comparisons that found a difference.
+    pub differences: u64,
+    /// Times that this VM noticed that it had been paused.
+    pub pauses: u64,
+}
+
+/// What this VM holds of another.
+#[derive(Debug, Clone)]
+struct Entry {
+    record: record::Record,
+    /// Hash of the name.
+    name: u64,
+    /// When it was taken as dead.
+    died: Option<time::Moment>,
+    /// The start of which the platform's list says that it's leaving.
+    flagged: Option<ids::Incarnation>,
+}
+
+/// The state of one member.
+#[derive(Debug)]
+pub struct State {
+    settings: settings::Settings,
+    own: record::Record,
+    members: collections::BTreeMap<ids::Vm, Entry>,
+    /// Others that are held to be there.
+    live: usize,
+    /// When each suspect is taken as dead.
+    suspects: collections::BTreeMap<ids::Vm, time::Moment>,
+    rumours: collections::BTreeMap<(member::Topic, shared::Arc<str>), member::Rumour>,
+    digest: digest::Digest,
+    queue: queue::Queue,
+    budget: rate::Bucket,
+    probing: probing::Probing,
+    contacts: join::Contacts,
+    announcement: Option<leave::Announcement>,
+    rng: rand::rngs::StdRng,
+    last_tick: time::Moment,
+    next_gossip: time::Moment,
+    next_sync: time::Moment,
+    /// News that must not wait for the next round.
+    urgent: bool,
+    /// Members that came back from the dead, to be compared with at once.
+    returned: Vec<net::SocketAddr>,
+    dirty: bool,
+    twin: bool,
+    figures: Figures,
+    actions: Vec<Action>,
+}
+
+impl State {
+    /// A member that knows nobody yet but may ask at `seeds`. Random choices
+    /// follow from `seed`.
+    pub fn new(
+        own: record::Record,
+        seeds: Vec<net::SocketAddr>,
+        settings: settings::Settings,
+        seed: u64,
+        now: time::Moment,
+    ) -> Self {
+        let mut digest = digest::Digest::new();
+        digest.toggle(name(&own.vm), own.fingerprint());
+        let budget = rate::Bucket::new(settings.bytes, settings.burst, now);
+        Self {
+            own,
+            members: collections::BTreeMap::new(),
+            live: 0,
+            suspects: collections::BTreeMap::new(),
+            rumours: collections::BTreeMap::new(),
+            digest,
+            queue: queue::Queue::default(),
+            budget,
+            probing: probing::Probing::new(now),
+            contacts: join::Contacts::new(seeds, now),
+            announcement: None,
+            rng: rand::rngs::StdRng::seed_from_u64(seed),
+            last_tick: now,
+            next_gossip: now,
+            next_sync: now,
+            urgent: false,
+            returned: Vec::new(),
+            dirty: true,
+            twin: false,
+            figures: Figures::default(),
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes in one event and says what to do.
+    pub fn handle(&mut self, event: Event, now: time::Moment) -> Vec<Action> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Datagram { from, datagram } => self.receive(from, datagram, now),
+            Event::Listed(vms) => self.listed(vms),
+            Event::Publish(rumour) => self.hear(rumour),
+            Event::Leave => self.leave(now),
+        }
+        if std::mem::take(&mut self.urgent) {
+            self.gossip(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The figures.
+    pub fn figures(&self) -> Figures {
+        let count = |n: usize| n as u64;
+        let others = self.members.values();
+        let leaving = others.filter(|entry| entry.record.leaving && entry.record.is_live());
+        Figures {
+            live: count(self.live + 1),
+            suspect: count(self.suspects.len()),
+            leaving: count(leaving.count()) + u64::from(self.own.leaving),
+            dead: count(self.members.len() - self.live),
+            queued: count(self.queue.len()),
+            rumours: count(self.rumours.len()),
+            ..self.figures
+        }
+    }
+
+    /// The view as it is now.
+    pub fn view(&self) -> member::View {
+        let entries = self.members.values();
+        let there = entries.filter(|entry| entry.record.is_live());
+        let mut members: Vec<_> = there.map(Entry::member).collect();
+        members.push(self.own.member(false));
+        member::View::new(self.own.vm.clone(), members)
+    }
+
+    /// What this VM says of itself.
+    pub fn own(&self) -> &record::Record {
+        &self.own
+    }
+
+    /// What this VM holds of `vm`, the dead included.
+    pub fn record(&self, vm: &ids::Vm) -> Option<&record::Record> {
+        self.members.get(vm).map(|entry| &entry.record)
+    }
+
+    /// The newest rumour of `topic` and `key`.
+    pub fn rumour(&self, topic: member::Topic, key: &str) -> Option<&member::Rumour> {
+        self.rumours.get(&(topic, key.into()))
+    }
+
+    fn tick(&mut self, now: time::Moment) {
+        let gap = now.since(self.last_tick);
+        self.last_tick = now;
+        if gap > self.settings.pause {
+            self.resume(gap);
+        }
+        self.bury(now);
+        self.probe(now);
+        self.seek(now);
+        self.repeat_announcement(now);
+        if now >= self.next_gossip {
+            self.next_gossip = now + self.settings.gossip;
+            self.gossip(now);
+        }
+        self.compare(now);
+        if std::mem::take(&mut self.dirty) {
+            let view = shared::Arc::new(self.view());
+            self.actions.push(Action::View(view));
+        }
+    }
+
+    /// A VM that was paused finds all its timers run out at once: it would take
+    /// every probed and suspected member as dead though only itself was away.
+    /// It forgets its probes and gives suspects the time that it has missed.
+    fn resume(&mut self, gap: spans::Duration) {
+        self.figures.pauses += 1;
+        self.probing.forget();
+        for deadline in self.suspects.values_mut() {
+            *deadline = *deadline + gap;
+        }
+    }
+
+    fn receive(&mut self, from: net::SocketAddr, datagram: wire::Datagram, now: time::Moment) {
+        let Some(sender) = datagram.from.as_ref().and_then(wire::Saying::record) else {
+            return;
+        };
+        if sender.vm == self.own.vm && sender.incarnation == self.own.incarnation {
+            return;
+        }
+        self.apply(sender.clone(), now);
+        for saying in &datagram.sayings {
+            if let Some(record) = saying.record() {
+                self.apply(record, now);
+            }
+        }
+        let rumours = datagram.rumours.into_iter();
+        rumours
+            .filter_map(wire::Rumour::rumour)
+            .for_each(|rumour| self.hear(rumour));
+        match datagram.kind {
+            Some(wire::Kind::Ping(probe)) => self.answer(from, &sender.vm, probe, now),
+            Some(wire::Kind::Ack(probe)) => self.answered(&sender.vm, &probe, now),
+            Some(wire::Kind::Relay(relay)) => self.relay(from, relay, now),
+            Some(wire::Kind::Digest(digest)) => self.compared(from, &sender.vm, &digest, now),
+            None => {}
+        }
+    }
+
+    /// Takes in what is said of a VM.
+    fn apply(&mut self, said: record::Record, now: time::Moment) {
+        if said.vm == self.own.vm {
+            return self.hear_of_self(&said);
+        }
+        let vm = said.vm.clone();
+        let held = self.members.get(&vm).map(|entry| entry.record.clone());
+        let new = match &held {
+            Some(held) => held.merge(&said),
+            // Nothing is known of it that a death could end.
+            None => Some(said).filter(record::Record::is_live),
+        };
+        let Some(new) = new else { return };
+        let was_live = held.as_ref().is_some_and(record::Record::is_live);
+        let was_leaving = held.as_ref().is_some_and(|held| held.leaving);
+        self.urgent |= new.leaving && !was_leaving && was_live;
+        self.dirty |= was_live || new.is_live();
+        let name = name(&vm);
+        if let Some(held) = &held {
+            self.digest.toggle(name, held.fingerprint());
+        }
+        self.digest.toggle(name, new.fingerprint());
+        match (was_live, new.is_live()) {
+            (false, true) => self.came(&new, held.is_some()),
+            (true, false) => self.live -= 1,
+            _ => {}
+        }
+        self.follow_suspicion(&new, now);
+        let died = (!new.is_live()).then_some(now);
+        let flagged = self.members.get(&vm).and_then(|entry| entry.flagged);
+        let record = new;
+        let entry = Entry {
+            record,
+            name,
+            died,
+            flagged,
+        };
+        self.members.insert(vm.clone(), entry);
+        self.queue.add(queue::Subject::Vm(vm));
+    }
+
+    fn came(&mut self, new: &record::Record, returned: bool) {
+        self.live += 1;
+        self.probing.join(&new.vm, &mut self.rng);
+        if returned {
+            self.returned.push(new.address);
+        }
+        if self.live == 1 {
+            self.next_sync = self.last_tick;
+        }
+    }
+
+    fn follow_suspicion(&mut self, new: &record::Record, now: time::Moment) {
+        if new.health == record::Health::Suspect {
+            let deadline = now + self.suspicion();
+            self.suspects.entry(new.vm.clone()).or_insert(deadline);
+        } else {
+            self.suspects.remove(&new.vm);
+        }
+    }
+
+    /// Others say something of this VM itself: a suspicion is refuted.
+    fn hear_of_self(&mut self, said: &record::Record) {
+        let incarnation = if said.incarnation > self.own.incarnation {
+            if said.address != self.own.address && said.is_live() {
+                if !std::mem::replace(&mut self.twin, true) {
+                    self.actions.push(Action::Twin(said.address));
+                }
+                return;
+            }
+            // An earlier start of this VM, when its clock was ahead: outbid it.
+            ids::Incarnation(said.incarnation.0 + 1)
+        } else {
+            self.own.incarnation
+        };
+        let same = said.incarnation == self.own.incarnation;
+        let accused =
+            same && said.health > record::Health::Alive && said.refutation >= self.own.refutation;
+        if !accused && incarnation == self.own.incarnation {
+            return;
+        }
+        let refutation = if accused { said.refutation + 1 } else { 0 };
+        self.figures.refutations += 1;
+        self.probing.doubt_self();
+        self.change_own(|own| {
+            own.incarnation = incarnation;
+            own.refutation = refutation;
+        });
+    }
+
+    fn change_own(&mut self, change: impl FnOnce(&mut record::Record)) {
+        let name = name(&self.own.vm);
+        self.digest.toggle(name, self.own.fingerprint());
+        change(&mut self.own);
+        self.digest.toggle(name, self.own.fingerprint());
+        self.queue.add(queue::Subject::Vm(self.own.vm.clone()));
+        self.urgent = true;
+        self.dirty = true;
+    }
+
+    /// Takes suspects as dead whose time is up, and forgets the long dead.
+    fn bury(&mut self, now: time::Moment) {
+        let due = self
+            .suspects
+            .iter()
+            .filter(|(_, deadline)| **deadline <= now);
+        let due: Vec<_> = due.map(|(vm, _)| vm.clone()).collect();
+        for vm in due {
+            self.figures.deaths += 1;
+            self.accuse(&vm, record::Health::Dead, now);
+        }
+        let tombstone = self.settings.tombstone;
+        let old = |entry: &Entry| entry.died.is_some_and(|died| now.since(died) > tombstone);
+        let entries = self.members.iter().filter(|(_, entry)| old(entry));
+        let forgotten: Vec<_> = entries.map(|(vm, _)| vm.clone()).collect();
+        for vm in forgotten {
+            self.members.remove(&vm);
+            self.queue.remove(&queue::Subject::Vm(vm.clone()));
+            self.forget_rumour(member::Topic::Applied, vm.as_str());
+        }
+    }
+
+    fn accuse(&mut self, vm: &ids::Vm, health: record::Health, now: time::Moment) {
+        let Some(entry) = self.members.get(vm) else {
+            return;
+        };
+        let mut record = entry.record.clone();
+        record.health = health;
+        self.apply(record, now);
+    }
+
+    /// How long a suspect has to refute: news reaches all in a number of rounds
+    /// that grows with the logarithm of the number of members.
+    fn suspicion(&self) -> spans::Duration {
+        let rounds = ((self.live + 1) as f64).log10().max(1.0);
+        (self.settings.probe * self.settings.suspicion).mul_f64(rounds)
+    }
+
+    /// Up to `count` random live others for which `fits` holds.
+    fn pick(
+        &mut self,
+        count: usize,
+        fits: impl Fn(&record::Record) -> bool,
+    ) -> Vec<(ids::Vm, net::SocketAddr)> {
+        let entries = self.members.values().map(|entry| &entry.record);
+        let live = entries.filter(|record| record.is_live() && fits(record));
+        let picked = live.choose_multiple(&mut self.rng, count);
+        let target = |record: &record::Record| (record.vm.clone(), record.address);
+        picked.into_iter().map(target).collect()
+    }
+}
+
+impl Entry {
+    fn member(&self) -> member::Member {
+        let flagged = self.flagged == Some(self.record.incarnation);
+        self.record.member(flagged)
+    }
+}
+
+/// The hash of a VM's name, for digests.
+fn name(vm: &ids::Vm) -> u64 {
+    digest::name(0, vm.as_str())
+}
+
+#[cfg(test)]
+#[path = "../tests/state.rs"]
+mod tests;
--- /dev/null
+++ b/crates/geraniumgauge/src/member/tests/record.rs
@@ -0,0 +1,49 @@
+use super::*;
+
+/// A saying about one VM from a few small numbers, so that collisions are common.
+fn saying(seed: u32) -> Record {
+    let health = [Health::Alive, Health::Suspect, Health::Dead];
+    Record {
+        vm: "a".parse().unwrap(),
+        incarnation: ids::Incarnation(u64::from(seed % 2)),
+        refutation: seed / 2 % 3,
+        data_centre: "dc-1".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        leaving: seed / 6 % 2 == 1,
+        health: health[(seed / 12 % 3) as usize],
+    }
+}
+
+fn heard(seeds: &[u32]) -> Option<Record> {
+    let mut sayings = seeds.iter().map(|seed| saying(*seed));
+    let first = sayings.next()?;
+    Some(sayings.fold(first, |held, other| held.merge(&other).unwrap_or(held)))
+}
+
+#[test]
+fn order_and_doubles_of_sayings_do_not_matter() {
+    fn property(mut seeds: Vec<u32>, turn: usize) -> bool {
+        let held = heard(&seeds);
+        let turned = turn % seeds.len().max(1);
+        seeds.rotate_left(turned);
+        seeds.extend_from_within(..turned);
+        seeds.reverse();
+        heard(&seeds) == held
+    }
+    quickcheck::quickcheck(property as fn(Vec<u32>, usize) -> bool);
+}
+
+#[test]
+fn leaving_is_never_undone_within_a_start() {
+    fn property(seeds: Vec<u32>) -> bool {
+        let mut held: Option<Record> = None;
+        seeds.into_iter().map(saying).all(|next| {
+            let before = held.take().unwrap_or_else(|| next.clone());
+            let after = before.merge(&next).unwrap_or_else(|| before.clone());
+            let kept = after.incarnation > before.incarnation || after.leaving >= before.leaving;
+            held = Some(after);
+            kept
+        })
+    }
+    quickcheck::quickcheck(property as fn(Vec<u32>) -> bool);
+}
