Wiring by duty; marks go out by frame and rumour

Cause: duties landed with their handles. Change: vm/wiring.rs starts them in order; Marks sends a mark to every VM at once.

--- a/crates/geraniumgauge/src/vm/dispatch.rs
+++ b/crates/geraniumgauge/src/vm/dispatch.rs
@@ -21,6 +21,7 @@
     pub(super) query: query::Service,
     pub(super) ledger: ledger::Service,
     pub(super) document: document::Service,
+    pub(super) book: quarantine::Service,
 }
 
 /// Takes frames from the mesh. The mesh is there before the duties, which send
@@ -51,7 +52,8 @@
             message::Body::Registered(done) => targets.ledger.registered(from, done),
             message::Body::Pull(pull) => targets.document.pull(from, pull),
             message::Body::Pulled(pulled) => targets.document.pulled(from, pulled),
-            message::Body::Hello(_) | message::Body::Beat(_) | message::Body::BeatReply(_) => {}
+            message::Body::Mark(mark) => targets.book.received(&mark),
+            message::Body::Bye(_) | message::Body::Hello(_) | message::Body::Beat(_) | message::Body::BeatReply(_) => {}
         }
     }
 
@@ -82,9 +84,23 @@
     }
 }
 
-impl quarantine::Spread for member::Service {
+/// Spreads marks by rumour, and at once by a frame to every VM: a caller sends a
+/// request again sooner than a rumour has gone round.
+pub(super) struct Marks {
+    pub(super) member: member::Service,
+    pub(super) post: sync::Arc<dyn mesh::Post>,
+}
+
+impl quarantine::Spread for Marks {
     fn publish(&self, rumour: member::Rumour) {
-        self.publish(rumour);
+        let view = sync::Arc::clone(&self.member.view().borrow());
+        let others = view.members.iter().filter(|member| member.vm != view.local);
+        for other in others {
+            let mark = message::Mark { body: rumour.body.clone() };
+            // A VM that can't be reached now hears of it by rumour.
+            let _ = self.post.send(&other.vm, message::Body::Mark(mark));
+        }
+        self.member.publish(rumour);
     }
 }
 
--- a/crates/geraniumgauge/src/vm/mod.rs
+++ b/crates/geraniumgauge/src/vm/mod.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod config;
 mod dispatch;
+mod wiring;
 
 pub use config::Config;
 
@@ -26,8 +27,6 @@
 use crate::query;
 use crate::slo;
 use crate::store;
-use crate::time::Clock;
-use crate::timer;
 
 /// Tries for a port that is free for both TCP and UDP, where any will do.
 const PORT_TRIES: u32 = 20;
@@ -101,11 +100,10 @@
         let (listener, socket) = bind(config.mesh).await?;
         let mesh_address = listener.local_addr().map_err(|e| mesh_error(config.mesh, e))?;
         let stop = CancellationToken::new();
-        let started = Start::new(&config, stop.clone())?;
-        let duties = started.duties(&config, listener, socket, mesh_address);
-        let duties = sync::Arc::new(duties);
+        let wiring = wiring::Wiring::new(&config, stop.clone())?;
+        let duties = sync::Arc::new(wiring.start(listener, socket, mesh_address));
         let gate = http::Gate::new(config.limits.requests);
-        let backend = backend::Backend::new(&config, &duties, gate.clone(), started.clock);
+        let backend = backend::Backend::new(&config, &duties, gate.clone(), wiring.clock());
         let backend: http::Shared = sync::Arc::new(backend);
         let callers = http::Server::callers(
             config.callers,
@@ -151,8 +149,7 @@
         }
         self.callers.stop().await;
         self.duties.slo.flush().await;
-        self.duties.mesh.close();
-        self.duties.mesh.flushed().await;
+        self.duties.mesh.close().await;
         self.operators.stop().await;
         self.stop.cancel();
         log::info!(target: "vm", "stopped");
@@ -165,133 +162,6 @@
     }
 }
 
-/// What the duties are made from.
-struct Start {
-    stop: CancellationToken,
-    clock: Clock,
-    timer: timer::Service,
-    metrics: metrics::Metrics,
-    store: sync::Arc<dyn store::Api>,
-}
-
-impl Start {
-    fn new(config: &Config, stop: CancellationToken) -> Result<Self, Error> {
-        let clock = Clock::start();
-        let metrics = metrics::Metrics::new()?;
-        let store = store::Client::new(config.store.clone(), clock, &metrics.meter())?;
-        let timer = timer::Service::new(stop.clone());
-        Ok(Self { stop, clock, timer, metrics, store: sync::Arc::new(store) })
-    }
-
-    fn duties(
-        &self,
-        config: &Config,
-        listener: tokio::net::TcpListener,
-        socket: tokio::net::UdpSocket,
-        address: net::SocketAddr,
-    ) -> Duties {
-        let meter = self.metrics.meter();
-        let incarnation = ids::Incarnation(self.clock.wall().0);
-        let member = member::Config::new(
-            config.vm.clone(),
-            incarnation,
-            config.data_centre.clone(),
-            address,
-            socket,
-            config.seeds.clone(),
-        );
-        let (clock, timer, store) = (self.clock, self.timer.clone(), &self.store);
-        let member =
-            member::Service::start(member, sync::Arc::clone(store), clock, timer.clone(), &meter);
-        let dispatch = sync::Arc::new(dispatch::Dispatch::default());
-        let mesh = mesh::Config::new(config.vm.clone(), incarnation, listener, config.frame);
-        let receive: sync::Arc<dyn mesh::Receive> = sync::Arc::clone(&dispatch) as _;
-        let mesh = mesh::Mesh::start(mesh, member.view(), receive, timer.clone(), &meter);
-        let post: sync::Arc<dyn mesh::Post> = sync::Arc::clone(&mesh) as _;
-        let catalog = document::Catalog::default();
-        let slo = slo::Config { vm: config.vm.clone(), incarnation };
-        let slo = slo::Service::start(
-            slo,
-            catalog.clone(),
-            sync::Arc::clone(store),
-            clock,
-            timer.clone(),
-            &meter,
-        );
-        let record: sync::Arc<dyn slo::Record> = sync::Arc::new(slo.clone());
-        let book = quarantine::Service::start(
-            quarantine::Config { vm: config.vm.clone() },
-            sync::Arc::clone(store),
-            sync::Arc::new(member.clone()),
-            clock,
-            timer.clone(),
-            &meter,
-        );
-        let home = home::Service::start(
-            home::Config { vm: config.vm.clone(), data_centre: config.data_centre.clone() },
-            catalog.clone(),
-            member.view(),
-            sync::Arc::clone(&post),
-            clock,
-            timer.clone(),
-            &meter,
-        );
-        let query = query::Config {
-            vm: config.vm.clone(),
-            data_centre: config.data_centre.clone(),
-            policy: config.policy,
-        };
-        let query = query::Service::start(
-            query,
-            catalog.clone(),
-            member.view(),
-            sync::Arc::clone(&post),
-            book.clone(),
-            sync::Arc::clone(&record),
-            clock,
-            timer.clone(),
-            &meter,
-        );
-        let ledger = ledger::Config {
-            vm: config.vm.clone(),
-            incarnation,
-            data_centre: config.data_centre.clone(),
-        };
-        let ledger = ledger::Service::start(
-            ledger,
-            catalog.clone(),
-            member.view(),
-            sync::Arc::clone(&post),
-            sync::Arc::clone(store),
-            sync::Arc::new(book.clone()),
-            record,
-            clock,
-            timer.clone(),
-            &meter,
-        );
-        let document = document::Service::start(
-            document::Config { vm: config.vm.clone(), data_centre: config.data_centre.clone() },
-            catalog,
-            member.view(),
-            post,
-            sync::Arc::new(member.clone()),
-            sync::Arc::clone(store),
-            clock,
-            timer,
-            &meter,
-        );
-        dispatch.set(dispatch::Targets {
-            home: home.clone(),
-            query: query.clone(),
-            ledger: ledger.clone(),
-            document: document.clone(),
-        });
-        tokio::spawn(dispatch::marks(member.rumours(), book, self.stop.clone()));
-        let metrics = self.metrics.clone();
-        Duties { mesh, member, home, query, ledger, document, slo, metrics }
-    }
-}
-
 /// Binds TCP and UDP on the same port.
 async fn bind(
     address: net::SocketAddr,
--- /dev/null
+++ b/crates/geraniumgauge/src/vm/wiring.rs
@@ -0,0 +1,221 @@
+//! Starts the duties in the order in which they need each other.
+
+use std::net;
+use std::sync;
+
+use opentelemetry::metrics as figures;
+use tokio_util::sync::CancellationToken;
+
+use crate::document;
+use crate::home;
+use crate::ids;
+use crate::ledger;
+use crate::member;
+use crate::mesh;
+use crate::metrics;
+use crate::quarantine;
+use crate::query;
+use crate::slo;
+use crate::store;
+use crate::time::Clock;
+use crate::timer;
+use crate::vm;
+use crate::vm::dispatch;
+
+/// What every duty is made from.
+pub(super) struct Wiring<'a> {
+    config: &'a vm::Config,
+    incarnation: ids::Incarnation,
+    stop: CancellationToken,
+    clock: Clock,
+    timer: timer::Service,
+    metrics: metrics::Metrics,
+    meter: figures::Meter,
+    store: sync::Arc<dyn store::Api>,
+    catalog: document::Catalog,
+}
+
+impl<'a> Wiring<'a> {
+    pub(super) fn new(config: &'a vm::Config, stop: CancellationToken) -> Result<Self, vm::Error> {
+        let clock = Clock::start();
+        let metrics = metrics::Metrics::new()?;
+        let meter = metrics.meter();
+        let store = store::Client::new(config.store.clone(), clock, &meter)?;
+        Ok(Self {
+            config,
+            incarnation: ids::Incarnation(clock.wall().0),
+            timer: timer::Service::new(stop.clone()),
+            stop,
+            clock,
+            metrics,
+            meter,
+            store: sync::Arc::new(store),
+            catalog: document::Catalog::default(),
+        })
+    }
+
+    pub(super) fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    pub(super) fn start(
+        &self,
+        listener: tokio::net::TcpListener,
+        socket: tokio::net::UdpSocket,
+        address: net::SocketAddr,
+    ) -> vm::Duties {
+        let member = self.member(socket, address);
+        let dispatch = sync::Arc::new(dispatch::Dispatch::default());
+        let mesh = self.mesh(listener, &member, sync::Arc::clone(&dispatch) as _);
+        let post: sync::Arc<dyn mesh::Post> = sync::Arc::clone(&mesh) as _;
+        let slo = self.slo();
+        let book = self.quarantine(&member, &post);
+        let home = self.home(&member, &post);
+        let query = self.query(&member, &post, &book, &slo);
+        let ledger = self.ledger(&member, &post, &book, &slo);
+        let document = self.document(&member, &post);
+        dispatch.set(dispatch::Targets {
+            home: home.clone(),
+            query: query.clone(),
+            ledger: ledger.clone(),
+            document: document.clone(),
+            book: book.clone(),
+        });
+        tokio::spawn(dispatch::marks(member.rumours(), book, self.stop.clone()));
+        let metrics = self.metrics.clone();
+        vm::Duties { mesh, member, home, query, ledger, document, slo, metrics }
+    }
+
+    fn member(&self, socket: tokio::net::UdpSocket, address: net::SocketAddr) -> member::Service {
+        let (name, centre) = (self.config.vm.clone(), self.config.data_centre.clone());
+        let mut config = member::Config::new(name, self.incarnation, centre, address, socket);
+        config.seeds.clone_from(&self.config.seeds);
+        member::Service::start(
+            config,
+            sync::Arc::clone(&self.store),
+            self.clock,
+            self.timer.clone(),
+            &self.meter,
+        )
+    }
+
+    fn mesh(
+        &self,
+        listener: tokio::net::TcpListener,
+        member: &member::Service,
+        receive: sync::Arc<dyn mesh::Receive>,
+    ) -> sync::Arc<mesh::Mesh> {
+        let mut config = mesh::Config::new(self.config.vm.clone(), self.incarnation, listener);
+        config.frame_bytes = usize::try_from(self.config.frame.0).unwrap_or(usize::MAX);
+        mesh::Mesh::start(config, member.view(), receive, self.timer.clone(), &self.meter)
+    }
+
+    fn slo(&self) -> slo::Service {
+        slo::Service::start(
+            slo::Config { vm: self.config.vm.clone(), incarnation: self.incarnation },
+            self.catalog.clone(),
+            sync::Arc::clone(&self.store),
+            self.clock,
+            self.timer.clone(),
+            &self.meter,
+        )
+    }
+
+    fn quarantine(
+        &self,
+        member: &member::Service,
+        post: &sync::Arc<dyn mesh::Post>,
+    ) -> quarantine::Service {
+        let spread = dispatch::Marks { member: member.clone(), post: sync::Arc::clone(post) };
+        quarantine::Service::start(
+            quarantine::Config { vm: self.config.vm.clone() },
+            sync::Arc::clone(&self.store),
+            sync::Arc::new(spread),
+            self.clock,
+            self.timer.clone(),
+            &self.meter,
+        )
+    }
+
+    fn home(&self, member: &member::Service, post: &sync::Arc<dyn mesh::Post>) -> home::Service {
+        let (vm, data_centre) = (self.config.vm.clone(), self.config.data_centre.clone());
+        home::Service::start(
+            home::Config { vm, data_centre },
+            self.catalog.clone(),
+            member.view(),
+            sync::Arc::clone(post),
+            self.clock,
+            self.timer.clone(),
+            &self.meter,
+        )
+    }
+
+    fn query(
+        &self,
+        member: &member::Service,
+        post: &sync::Arc<dyn mesh::Post>,
+        book: &quarantine::Service,
+        slo: &slo::Service,
+    ) -> query::Service {
+        let config = query::Config {
+            vm: self.config.vm.clone(),
+            data_centre: self.config.data_centre.clone(),
+            policy: self.config.policy,
+        };
+        query::Service::start(
+            config,
+            self.catalog.clone(),
+            member.view(),
+            sync::Arc::clone(post),
+            book.clone(),
+            sync::Arc::new(slo.clone()),
+            self.clock,
+            self.timer.clone(),
+            &self.meter,
+        )
+    }
+
+    fn ledger(
+        &self,
+        member: &member::Service,
+        post: &sync::Arc<dyn mesh::Post>,
+        book: &quarantine::Service,
+        slo: &slo::Service,
+    ) -> ledger::Service {
+        let config = ledger::Config {
+            vm: self.config.vm.clone(),
+            incarnation: self.incarnation,
+            data_centre: self.config.data_centre.clone(),
+        };
+        ledger::Service::start(
+            config,
+            self.catalog.clone(),
+            member.view(),
+            sync::Arc::clone(post),
+            sync::Arc::clone(&self.store),
+            sync::Arc::new(book.clone()),
+            sync::Arc::new(slo.clone()),
+            self.clock,
+            self.timer.clone(),
+            &self.meter,
+        )
+    }
+
+    fn document(
+        &self,
+        member: &member::Service,
+        post: &sync::Arc<dyn mesh::Post>,
+    ) -> document::Service {
+        let (vm, data_centre) = (self.config.vm.clone(), self.config.data_centre.clone());
+        let parts = document::Parts {
+            catalog: self.catalog.clone(),
+            view: member.view(),
+            post: sync::Arc::clone(post),
+            gossip: sync::Arc::new(member.clone()),
+            store: sync::Arc::clone(&self.store),
+            clock: self.clock,
+            timer: self.timer.clone(),
+        };
+        document::Service::start(document::Config { vm, data_centre }, parts, &self.meter)
+    }
+}
