Adapter to upstreams: one client a connection, replies checked against the call

Cause: slots and connections must be exact, a record must not be sent twice, a mixed-up reply not merged. Change: upstream::Connection, whose client may connect once; replies are read against id, shard, version and layout. Checked by tests on a small fake: 50 calls use one connection; a broken record is lost and its connection stays closed.

--- /dev/null
+++ b/crates/geraniumgauge/src/upstream/tests.rs
@@ -0,0 +1,276 @@
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+
+use super::*;
+use crate::layout;
+
+/// What the fake upstream does with one request.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Answers with this status, these header lines and this body.
+    Answer(u16, &'static str, &'static str),
+    /// Closes the connection without an answer.
+    Close,
+    /// Answers, then closes the connection.
+    AnswerAndClose(&'static str, &'static str),
+}
+
+/// Listens on a port of its own; plays `steps` over all connections, in order.
+struct Fake {
+    upstream: layout::Upstream,
+    connects: sync::Arc<atomic::AtomicUsize>,
+    requests: sync::Arc<sync::Mutex<Vec<String>>>,
+}
+
+async fn read_request(stream: &mut tokio::net::TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    loop {
+        let mut part = [0; 4096];
+        let read = stream.read(&mut part).await.ok()?;
+        if read == 0 {
+            return None;
+        }
+        text.extend_from_slice(&part[..read]);
+        let seen = String::from_utf8_lossy(&text).into_owned();
+        let Some((head, body)) = seen.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head.lines().find_map(|line| {
+            line.to_lowercase()
+                .strip_prefix("content-length: ")?
+                .parse()
+                .ok()
+        });
+        if body.len() >= length.unwrap_or(0) {
+            return Some(seen);
+        }
+    }
+}
+
+async fn serve(
+    mut stream: tokio::net::TcpStream,
+    steps: sync::Arc<sync::Mutex<std::vec::IntoIter<Step>>>,
+    requests: sync::Arc<sync::Mutex<Vec<String>>>,
+) -> Option<()> {
+    loop {
+        let request = read_request(&mut stream).await?;
+        requests.lock().unwrap().push(request);
+        let step = steps.lock().unwrap().next()?;
+        let (status, headers, body, close) = match step {
+            Step::Answer(status, headers, body) => (status, headers, body, false),
+            Step::AnswerAndClose(headers, body) => (200, headers, body, true),
+            Step::Close => return None,
+        };
+        let length = body.len();
+        let text =
+            format!("HTTP/1.1 {status} x\r\n{headers}content-length: {length}\r\n\r\n{body}");
+        stream.write_all(text.as_bytes()).await.ok()?;
+        if close {
+            return None;
+        }
+    }
+}
+
+async fn fake(steps: Vec<Step>) -> Fake {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let upstream = layout::Upstream {
+        id: "up-1".parse().unwrap(),
+        address: listener.local_addr().unwrap(),
+        data_centre: "dc-1".parse().unwrap(),
+        slots: 2,
+        connections: 25,
+        connect_ms: 6,
+    };
+    let fake = Fake {
+        upstream,
+        connects: sync::Arc::default(),
+        requests: sync::Arc::default(),
+    };
+    let (connects, requests) = (fake.connects.clone(), fake.requests.clone());
+    let steps = sync::Arc::new(sync::Mutex::new(steps.into_iter()));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            connects.fetch_add(1, atomic::Ordering::Relaxed);
+            tokio::spawn(serve(stream, steps.clone(), requests.clone()));
+        }
+    });
+    fake
+}
+
+impl Fake {
+    fn connection(&self, body: usize) -> Connection {
+        let limits = Limits {
+            body,
+            ..Limits::default()
+        };
+        Connection::new(&self.upstream, limits).unwrap()
+    }
+
+    fn connects(&self) -> usize {
+        self.connects.load(atomic::Ordering::Relaxed)
+    }
+
+    fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+}
+
+fn search() -> Search {
+    Search {
+        id: call_id("r1", &"vm-1".parse().unwrap(), 7),
+        shard: "s1".parse().unwrap(),
+        time_left: time::Duration::from_micros(250_900),
+        index_version: Some(ids::IndexVersion(4)),
+        layout: ids::LayoutVersion(2),
+        body: bytes::Bytes::from_static(b"{}"),
+    }
+}
+
+fn record() -> Record {
+    Record {
+        id: call_id("r1", &"vm-1".parse().unwrap(), 8),
+        shard: "s1".parse().unwrap(),
+        time_left: time::Duration::from_millis(250),
+        layout: ids::LayoutVersion(2),
+        key: "k1".to_owned(),
+        body: bytes::Bytes::from_static(b"{}"),
+    }
+}
+
+const OWN: &str = "request-id: r1.vm-1.7\r\nshard: s1\r\nindex-version: 4\r\nlayout-version: 2\r\nindex-newest: 5\r\n";
+const OWN_RECORD: &str = "request-id: r1.vm-1.8\r\nshard: s1\r\nlayout-version: 2\r\n";
+const HITS: &str = r#"{"hits": []}"#;
+
+#[tokio::test]
+async fn calls_follow_one_another_on_one_connection() {
+    let fake = fake(vec![Step::Answer(200, OWN, HITS); 50]).await;
+    let connection = fake.connection(1000);
+    for _ in 0..50 {
+        let reply = connection.search(&search()).await;
+        assert_eq!(reply.outcome, Outcome::Done);
+        assert!(reply.reusable);
+        assert_eq!(reply.newest, ids::IndexVersion(5));
+        assert_eq!(reply.body, HITS);
+    }
+    assert_eq!(fake.connects(), 1);
+    let first = fake.requests()[0].to_lowercase();
+    assert!(first.starts_with("post /shards/s1/search "), "{first}");
+    assert!(first.contains("deadline-ms: 250\r\n"), "{first}");
+}
+
+/// Story: a reply to another call arrives on this connection, as happens where
+/// something between the two ends mixes replies up. A reader would see hits of
+/// another shard or another version under this shard's name.
+#[tokio::test]
+async fn a_reply_that_echoes_anything_else_is_crossed() {
+    let others = [
+        "request-id: r1.vm-1.6\r\nshard: s1\r\nindex-version: 4\r\nlayout-version: 2\r\n",
+        "request-id: r1.vm-1.7\r\nshard: s2\r\nindex-version: 4\r\nlayout-version: 2\r\n",
+        "request-id: r1.vm-1.7\r\nshard: s1\r\nindex-version: 5\r\nlayout-version: 2\r\n",
+        "request-id: r1.vm-1.7\r\nshard: s1\r\nindex-version: 4\r\nlayout-version: 3\r\n",
+        "shard: s1\r\nindex-version: 4\r\nlayout-version: 2\r\n",
+        "",
+    ];
+    for headers in others {
+        let fake = fake(vec![Step::Answer(200, headers, HITS)]).await;
+        let reply = fake.connection(1000).search(&search()).await;
+        assert_eq!(reply, Reply::bare(Outcome::Crossed), "{headers}");
+    }
+}
+
+#[tokio::test]
+async fn refusals_say_that_nothing_ran() {
+    let own = "request-id: r1.vm-1.7\r\n";
+    let cases = [
+        (503, own, r#"{"error": "shed"}"#, Outcome::Shed),
+        (503, own, r#"{"error": "draining"}"#, Outcome::Draining),
+        (
+            409,
+            own,
+            r#"{"error": "version_unavailable", "oldest": 5, "newest": 9}"#,
+            Outcome::Version,
+        ),
+        (500, own, r#"{"error": "shed"}"#, Outcome::Failed),
+        (503, own, "gateway", Outcome::Failed),
+        (
+            503,
+            "request-id: r0.vm-1.1\r\n",
+            r#"{"error": "shed"}"#,
+            Outcome::Crossed,
+        ),
+    ];
+    for (status, headers, body, outcome) in cases {
+        let fake = fake(vec![Step::Answer(status, headers, body)]).await;
+        let reply = fake.connection(1000).search(&search()).await;
+        assert_eq!(reply.outcome, outcome, "{status} {body}");
+    }
+}
+
+/// Story: a registration runs, its reply is mixed up with the refusal of
+/// another call. Believed, the caller would be told that it was not run.
+#[tokio::test]
+async fn a_refusal_that_names_no_call_proves_nothing_of_a_record() {
+    let fake = fake(vec![Step::Answer(503, "", r#"{"error": "shed"}"#)]).await;
+    let reply = fake.connection(1000).record(&record()).await;
+    assert_eq!(reply.outcome, Outcome::Failed);
+}
+
+/// Story: the upstream takes a registration and its connection breaks. A
+/// client that sends again on a new connection would register it twice.
+#[tokio::test]
+async fn a_record_whose_connection_breaks_is_lost_and_not_resent() {
+    let fake = fake(vec![
+        Step::Answer(200, OWN_RECORD, "{}"),
+        Step::Close,
+        Step::Answer(200, OWN_RECORD, "{}"),
+    ])
+    .await;
+    let connection = fake.connection(1000);
+    assert_eq!(connection.record(&record()).await.outcome, Outcome::Done);
+    assert_eq!(connection.record(&record()).await.outcome, Outcome::Lost);
+    assert_eq!(fake.requests().len(), 2);
+    assert_eq!(connection.record(&record()).await.outcome, Outcome::Unsent);
+    assert_eq!((fake.requests().len(), fake.connects()), (2, 1));
+}
+
+/// Story: an idle connection was closed by the upstream. The next call on it
+/// has sent nothing, and no second connection is opened behind our count.
+#[tokio::test]
+async fn a_call_on_a_closed_connection_is_unsent() {
+    let fake = fake(vec![
+        Step::AnswerAndClose(OWN, HITS),
+        Step::Answer(200, OWN, HITS),
+    ])
+    .await;
+    let connection = fake.connection(1000);
+    assert_eq!(connection.search(&search()).await.outcome, Outcome::Done);
+    while fake.requests().len() < 2 {
+        let reply = connection.search(&search()).await;
+        if reply.outcome == Outcome::Unsent {
+            break;
+        }
+    }
+    assert_eq!(connection.search(&search()).await.outcome, Outcome::Unsent);
+    assert_eq!((fake.requests().len(), fake.connects()), (1, 1));
+}
+
+#[tokio::test]
+async fn a_port_that_nobody_listens_on_is_unsent() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut upstream = fake(Vec::new()).await.upstream;
+    upstream.address = listener.local_addr().unwrap();
+    drop(listener);
+    let connection = Connection::new(&upstream, Limits::default()).unwrap();
+    assert_eq!(connection.search(&search()).await.outcome, Outcome::Unsent);
+}
+
+#[tokio::test]
+async fn a_body_over_the_limit_is_crossed() {
+    let fake = fake(vec![Step::Answer(200, OWN, HITS)]).await;
+    let reply = fake.connection(HITS.len() - 1).search(&search()).await;
+    assert_eq!(reply.outcome, Outcome::Crossed);
+}
