--- a/crates/geraniumgauge/src/home/placement.rs
+++ b/crates/geraniumgauge/src/home/placement.rs
@@ -35,6 +35,36 @@
     Primary,
     /// Holds one warm connection and a small allowance.
     Standby,
+    /// Would be the standby if one of the two went. It serves calls of VMs
+    /// that already see it as a home, within a small allowance.
+    Next,
+}
+
+/// What `vm` is to `upstream` by `view`; `None` where it is no home of it.
+pub fn role(
+    view: &member::View,
+    upstream: &layout::Upstream,
+    service: &ids::Service,
+    vm: &ids::Vm,
+) -> Option<Role> {
+    let own = view.holders().find(|member| member.vm == *vm)?;
+    let duty = duty(upstream, service);
+    let rank = |member: &member::Member| rank(member, &upstream.data_centre, &duty);
+    let own = (rank(own), vm);
+    let ahead = view
+        .holders()
+        .filter(|member| (rank(member), &member.vm) > own);
+    match ahead.take(3).count() {
+        0 => Some(Role::Primary),
+        1 => Some(Role::Standby),
+        2 => Some(Role::Next),
+        _ => None,
+    }
+}
+
+fn rank(member: &member::Member, data_centre: &ids::DataCentre, duty: &str) -> (bool, u64) {
+    let near = member.data_centre == *data_centre;
+    (near, rendezvous::weight(duty, &member.vm))
 }
 
 impl Homes {
@@ -46,14 +76,10 @@
     }
 
     fn of_group(view: &member::View, data_centre: &ids::DataCentre, duty: &str) -> Self {
-        let rank = |member: &member::Member| {
-            let near = member.data_centre == *data_centre;
-            (near, rendezvous::weight(duty, &member.vm))
-        };
         let mut first = None;
         let mut second = None;
         for member in view.holders() {
-            let ranked = Some((rank(member), &member.vm));
+            let ranked = Some((rank(member, data_centre, duty), &member.vm));
             if ranked > first {
                 second = first;
                 first = ranked;
@@ -66,14 +92,6 @@
             standby: second.map(|(_, vm)| vm.clone()),
         }
     }
-
-    /// What `vm` is to the upstream; `None` where it is no home of it.
-    pub fn role(&self, vm: &ids::Vm) -> Option<Role> {
-        if self.primary == *vm {
-            return Some(Role::Primary);
-        }
-        (self.standby.as_ref() == Some(vm)).then_some(Role::Standby)
-    }
 }
 
 fn neighbourhood(upstream: &ids::Upstream) -> u64 {
@@ -97,7 +115,29 @@
 struct Known {
     /// Kept alive, so that its address names this view only.
     view: Option<member::Shared>,
-    homes: collections::HashMap<(ids::Service, ids::DataCentre, u64), Homes>,
+    homes: collections::HashMap<Place, Homes>,
+    roles: collections::HashMap<Place, Option<Role>>,
+}
+
+/// Upstreams of a place have the same homes.
+type Place = (ids::Service, ids::DataCentre, u64);
+
+fn place(upstream: &layout::Upstream, service: &ids::Service) -> Place {
+    let group = neighbourhood(&upstream.id);
+    (service.clone(), upstream.data_centre.clone(), group)
+}
+
+impl Known {
+    /// Forgets what it knows of another view.
+    fn follow(&mut self, view: &member::Shared) {
+        let seen = self.view.as_ref();
+        if seen.is_some_and(|seen| sync::Arc::ptr_eq(seen, view)) {
+            return;
+        }
+        self.view = Some(view.clone());
+        self.homes.clear();
+        self.roles.clear();
+    }
 }
 
 impl Cache {
@@ -108,25 +148,32 @@
         upstream: &layout::Upstream,
         service: &ids::Service,
     ) -> Homes {
-        let mut known = self
-            .known
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        let same = known
-            .view
-            .as_ref()
-            .is_some_and(|seen| sync::Arc::ptr_eq(seen, view));
-        if !same {
-            known.view = Some(view.clone());
-            known.homes.clear();
-        }
-        let group = neighbourhood(&upstream.id);
-        let key = (service.clone(), upstream.data_centre.clone(), group);
-        let homes = known.homes.entry(key);
+        let mut known = self.known(view);
+        let homes = known.homes.entry(place(upstream, service));
         homes
             .or_insert_with(|| Homes::of(view, upstream, service))
             .clone()
     }
+
+    /// As [`role`], for one and the same `vm`.
+    pub fn role(
+        &self,
+        view: &member::Shared,
+        upstream: &layout::Upstream,
+        service: &ids::Service,
+        vm: &ids::Vm,
+    ) -> Option<Role> {
+        let mut known = self.known(view);
+        let known = known.roles.entry(place(upstream, service));
+        *known.or_insert_with(|| role(view, upstream, service, vm))
+    }
+
+    fn known(&self, view: &member::Shared) -> sync::MutexGuard<'_, Known> {
+        let known = self.known.lock();
+        let mut known = known.unwrap_or_else(sync::PoisonError::into_inner);
+        known.follow(view);
+        known
+    }
 }
 
 #[cfg(test)]
--- a/crates/geraniumgauge/src/home/tests/placement.rs
+++ b/crates/geraniumgauge/src/home/tests/placement.rs
@@ -102,3 +102,17 @@
         }
     }
 }
+
+#[test]
+fn roles_agree_with_homes() {
+    let view = view(30);
+    for number in 0..40 {
+        let upstream = upstream(number);
+        let homes = Homes::of(&view, &upstream, &service());
+        let role = |vm: &ids::Vm| role(&view, &upstream, &service(), vm);
+        assert_eq!(role(&homes.primary), Some(Role::Primary));
+        assert_eq!(role(&homes.standby.unwrap()), Some(Role::Standby));
+        let roles = view.members.iter().filter_map(|member| role(&member.vm));
+        assert_eq!(roles.count(), 3);
+    }
+}
--- a/crates/geraniumgauge/src/upstream/connection.rs
+++ b/crates/geraniumgauge/src/upstream/connection.rs
@@ -48,18 +48,24 @@
     source: reqwest::Error,
 }
 
-/// Why a report could not be had.
-#[derive(Debug, derive_more::Display)]
+/// An upstream didn't answer a request for a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("no answer")]
+pub struct Unanswered {
+    /// No connection could be had.
+    pub refused: bool,
+}
+
+/// Why a reply's body could not be had.
+#[derive(Debug)]
 enum Failure {
-    #[display("{_0}")]
-    Http(reqwest::Error),
-    #[display("the body exceeds the limit")]
+    Http,
     Large,
 }
 
 impl From<reqwest::Error> for Failure {
-    fn from(error: reqwest::Error) -> Self {
-        Self::Http(error)
+    fn from(_: reqwest::Error) -> Self {
+        Self::Http
     }
 }
 
@@ -102,8 +108,8 @@
         })
     }
 
-    /// Searches one shard.
-    pub async fn search(&self, call: &super::Search) -> reply::Reply {
+    /// Searches one shard. `heard` is called when the reply begins.
+    pub async fn search(&self, call: &super::Search, heard: impl FnOnce()) -> reply::Reply {
         let shard = &call.shard;
         let expected = reply::Expected {
             id: &call.id,
@@ -120,11 +126,12 @@
         if let Some(version) = call.index_version {
             request = request.header(super::INDEX_VERSION, version.0);
         }
-        self.call(request, &expected).await
+        self.call(request, &expected, heard).await
     }
 
-    /// Sends one record, once: whatever happens, it is not sent again.
-    pub async fn record(&self, call: &super::Record) -> reply::Reply {
+    /// Sends one record, once: whatever happens, it is not sent again. `heard`
+    /// is called when the reply begins.
+    pub async fn record(&self, call: &super::Record, heard: impl FnOnce()) -> reply::Reply {
         let shard = &call.shard;
         let expected = reply::Expected {
             id: &call.id,
@@ -139,7 +146,7 @@
             .header(super::LAYOUT_VERSION, call.layout.0)
             .header(super::IDEMPOTENCY_KEY, &call.key)
             .body(call.body.clone());
-        self.call(request, &expected).await
+        self.call(request, &expected, heard).await
     }
 
     /// Asks the upstream to stop a call; whether it knew of the call.
@@ -152,21 +159,19 @@
         Some(status.is_success())
     }
 
-    /// The upstream's health report.
-    pub async fn health(&self) -> Option<reply::Health> {
-        self.report("/health").await
-    }
-
-    /// The upstream's load report.
-    pub async fn load(&self) -> Option<reply::Load> {
-        self.report("/load").await
-    }
-
-    async fn report<T: serde::de::DeserializeOwned>(&self, path: &str) -> Option<T> {
-        let url = format!("{}{path}", self.base);
-        let reply = self.client.get(url).send().await.ok()?;
-        let body = self.body(reply).await.ok()?;
-        serde_json::from_slice(&body).ok()
+    /// The upstream's health report; `None` where what it answers is no report.
+    ///
+    /// # Errors
+    /// Where it doesn't answer.
+    pub async fn health(&self) -> Result<Option<reply::Health>, Unanswered> {
+        let url = format!("{}/health", self.base);
+        let unanswered = |error: reqwest::Error| Unanswered {
+            refused: error.is_connect(),
+        };
+        let reply = self.client.get(url).send().await.map_err(unanswered)?;
+        let body = self.body(reply).await;
+        let body = body.map_err(|_| Unanswered { refused: false })?;
+        Ok(serde_json::from_slice(&body).ok())
     }
 
     fn post(&self, path: &str, time_left: time::Duration) -> reqwest::RequestBuilder {
@@ -181,17 +186,19 @@
         &self,
         request: reqwest::RequestBuilder,
         expected: &reply::Expected<'_>,
+        heard: impl FnOnce(),
     ) -> reply::Reply {
         let reply = match request.send().await {
             Ok(reply) => reply,
             Err(error) => return reply::Reply::bare(outcome(&error)),
         };
+        heard();
         let status = reply.status().as_u16();
         let headers = reply.headers().clone();
         match self.body(reply).await {
             Ok(body) => expected.read(status, &headers, body),
             Err(Failure::Large) => reply::Reply::bare(reply::Outcome::Crossed),
-            Err(Failure::Http(_)) => reply::Reply::bare(reply::Outcome::Lost),
+            Err(Failure::Http) => reply::Reply::bare(reply::Outcome::Lost),
         }
     }
 
--- a/crates/geraniumgauge/src/upstream/reply.rs
+++ b/crates/geraniumgauge/src/upstream/reply.rs
@@ -104,19 +104,6 @@
     }
 }
 
-/// A load report: a hint that may lag or mislead.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Load {
-    /// Requests it runs.
-    pub running: u32,
-    /// Requests that wait there.
-    #[serde(default)]
-    pub queued: u32,
-    /// How old the report is, in milliseconds.
-    #[serde(default)]
-    pub age_ms: u64,
-}
-
 /// What a reply must echo to be the answer to a call.
 #[derive(Debug)]
 pub(super) struct Expected<'a> {
--- a/crates/geraniumgauge/src/upstream/tests.rs
+++ b/crates/geraniumgauge/src/upstream/tests.rs
@@ -150,7 +150,7 @@
     let fake = fake(vec![Step::Answer(200, OWN, HITS); 50]).await;
     let connection = fake.connection(1000);
     for _ in 0..50 {
-        let reply = connection.search(&search()).await;
+        let reply = connection.search(&search(), || ()).await;
         assert_eq!(reply.outcome, Outcome::Done);
         assert!(reply.reusable);
         assert_eq!(reply.newest, ids::IndexVersion(5));
@@ -177,7 +177,7 @@
     ];
     for headers in others {
         let fake = fake(vec![Step::Answer(200, headers, HITS)]).await;
-        let reply = fake.connection(1000).search(&search()).await;
+        let reply = fake.connection(1000).search(&search(), || ()).await;
         assert_eq!(reply, Reply::bare(Outcome::Crossed), "{headers}");
     }
 }
@@ -205,7 +205,7 @@
     ];
     for (status, headers, body, outcome) in cases {
         let fake = fake(vec![Step::Answer(status, headers, body)]).await;
-        let reply = fake.connection(1000).search(&search()).await;
+        let reply = fake.connection(1000).search(&search(), || ()).await;
         assert_eq!(reply.outcome, outcome, "{status} {body}");
     }
 }
@@ -215,7 +215,7 @@
 #[tokio::test]
 async fn a_refusal_that_names_no_call_proves_nothing_of_a_record() {
     let fake = fake(vec![Step::Answer(503, "", r#"{"error": "shed"}"#)]).await;
-    let reply = fake.connection(1000).record(&record()).await;
+    let reply = fake.connection(1000).record(&record(), || ()).await;
     assert_eq!(reply.outcome, Outcome::Failed);
 }
 
@@ -230,10 +230,19 @@
     ])
     .await;
     let connection = fake.connection(1000);
-    assert_eq!(connection.record(&record()).await.outcome, Outcome::Done);
-    assert_eq!(connection.record(&record()).await.outcome, Outcome::Lost);
+    assert_eq!(
+        connection.record(&record(), || ()).await.outcome,
+        Outcome::Done
+    );
+    assert_eq!(
+        connection.record(&record(), || ()).await.outcome,
+        Outcome::Lost
+    );
     assert_eq!(fake.requests().len(), 2);
-    assert_eq!(connection.record(&record()).await.outcome, Outcome::Unsent);
+    assert_eq!(
+        connection.record(&record(), || ()).await.outcome,
+        Outcome::Unsent
+    );
     assert_eq!((fake.requests().len(), fake.connects()), (2, 1));
 }
 
@@ -247,14 +256,20 @@
     ])
     .await;
     let connection = fake.connection(1000);
-    assert_eq!(connection.search(&search()).await.outcome, Outcome::Done);
+    assert_eq!(
+        connection.search(&search(), || ()).await.outcome,
+        Outcome::Done
+    );
     while fake.requests().len() < 2 {
-        let reply = connection.search(&search()).await;
+        let reply = connection.search(&search(), || ()).await;
         if reply.outcome == Outcome::Unsent {
             break;
         }
     }
-    assert_eq!(connection.search(&search()).await.outcome, Outcome::Unsent);
+    assert_eq!(
+        connection.search(&search(), || ()).await.outcome,
+        Outcome::Unsent
+    );
     assert_eq!((fake.requests().len(), fake.connects()), (1, 1));
 }
 
@@ -265,12 +280,18 @@
     upstream.address = listener.local_addr().unwrap();
     drop(listener);
     let connection = Connection::new(&upstream, Limits::default()).unwrap();
-    assert_eq!(connection.search(&search()).await.outcome, Outcome::Unsent);
+    assert_eq!(
+        connection.search(&search(), || ()).await.outcome,
+        Outcome::Unsent
+    );
 }
 
 #[tokio::test]
 async fn a_body_over_the_limit_is_crossed() {
     let fake = fake(vec![Step::Answer(200, OWN, HITS)]).await;
-    let reply = fake.connection(HITS.len() - 1).search(&search()).await;
+    let reply = fake
+        .connection(HITS.len() - 1)
+        .search(&search(), || ())
+        .await;
     assert_eq!(reply.outcome, Outcome::Crossed);
 }
