ledger: property over every failure point

Store replies lost, late writes, store down, VMs paused and lost at each outside effect, links lost, homes that refuse, crash, fall silent or send late; callers resend at other VMs. Compares what callers were told with what upstreams ran.

A lost link polled an ended channel (a panic, told as unknown).

--- a/crates/geraniumgauge/src/ledger/bucket.rs
+++ b/crates/geraniumgauge/src/ledger/bucket.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use crate::ids;
+use crate::ledger::change;
 use crate::ledger::commit;
 use crate::ledger::head;
 use crate::ledger::key;
@@ -42,11 +43,11 @@
 
 enum Ask {
     Submit(
-        commit::Ticket,
-        commit::Change,
-        oneshot::Sender<commit::Verdict>,
+        change::Ticket,
+        change::Change,
+        oneshot::Sender<change::Verdict>,
     ),
-    Abandon(commit::Ticket, ids::Key, head::Entry),
+    Abandon(change::Ticket, ids::Key, head::Entry),
     Drained(oneshot::Sender<()>),
 }
 
@@ -78,8 +79,8 @@
         key: &ids::Key,
         entry: &head::Entry,
         within: time::Duration,
-    ) -> commit::Verdict {
-        let change = commit::Change::Claim(key.clone(), entry.clone());
+    ) -> change::Verdict {
+        let change = change::Change::Claim(key.clone(), entry.clone());
         let (ticket, verdict) = self.submit(change);
         tokio::select! {
             biased;
@@ -88,7 +89,7 @@
                 let ask = Ask::Abandon(ticket, key.clone(), entry.clone());
                 let _ = self.asks.send(ask);
                 let reason = "the claim was not recorded in time".to_owned();
-                commit::Verdict::Failed(reason)
+                change::Verdict::Failed(reason)
             }
         }
     }
@@ -99,14 +100,14 @@
         &self,
         key: &ids::Key,
         entry: head::Entry,
-    ) -> oneshot::Receiver<commit::Verdict> {
-        self.submit(commit::Change::Settle(key.clone(), entry)).1
+    ) -> oneshot::Receiver<change::Verdict> {
+        self.submit(change::Change::Settle(key.clone(), entry)).1
     }
 
     /// What is recorded of a key.
-    pub(super) async fn look(&self, key: &ids::Key, within: time::Duration) -> commit::Verdict {
-        let (_, verdict) = self.submit(commit::Change::Look(key.clone()));
-        let late = || commit::Verdict::Failed("the store took too long".to_owned());
+    pub(super) async fn look(&self, key: &ids::Key, within: time::Duration) -> change::Verdict {
+        let (_, verdict) = self.submit(change::Change::Look(key.clone()));
+        let late = || change::Verdict::Failed("the store took too long".to_owned());
         tokio::select! {
             verdict = verdict => verdict.unwrap_or_else(|_| late()),
             _ = self.timer.pause(within) => late(),
@@ -123,10 +124,10 @@
 
     fn submit(
         &self,
-        change: commit::Change,
-    ) -> (commit::Ticket, oneshot::Receiver<commit::Verdict>) {
+        change: change::Change,
+    ) -> (change::Ticket, oneshot::Receiver<change::Verdict>) {
         let number = self.tickets.fetch_add(1, sync::atomic::Ordering::Relaxed);
-        let ticket = commit::Ticket(number);
+        let ticket = change::Ticket(number);
         let (tell, verdict) = oneshot::channel();
         let _ = self.asks.send(Ask::Submit(ticket, change, tell));
         (ticket, verdict)
@@ -139,7 +140,7 @@
     pages: String,
     asks: mpsc::UnboundedReceiver<Ask>,
     commit: commit::Commit,
-    tell: collections::HashMap<commit::Ticket, oneshot::Sender<commit::Verdict>>,
+    tell: collections::HashMap<change::Ticket, oneshot::Sender<change::Verdict>>,
     drained: Vec<oneshot::Sender<()>>,
     garbage: Vec<head::Page>,
     backoff: store::Backoff,
@@ -213,11 +214,11 @@
 
     fn take(&mut self, ask: Ask) {
         match ask {
-            Ask::Submit(_, commit::Change::Claim(..) | commit::Change::Look(_), tell)
+            Ask::Submit(_, change::Change::Claim(..) | change::Change::Look(_), tell)
                 if self.is_closed() =>
             {
                 let reason = "the store is not available".to_owned();
-                let _ = tell.send(commit::Verdict::Failed(reason));
+                let _ = tell.send(change::Verdict::Failed(reason));
             }
             Ask::Submit(ticket, change, tell) => {
                 self.tell.insert(ticket, tell);
@@ -237,7 +238,7 @@
 
     fn deliver(&mut self) {
         for (ticket, verdict) in self.commit.verdicts() {
-            if let commit::Verdict::Dropped(pages) = &verdict {
+            if let change::Verdict::Dropped(pages) = &verdict {
                 self.garbage.extend(pages.iter().cloned());
             }
             if let Some(tell) = self.tell.remove(&ticket) {
@@ -332,7 +333,7 @@
         if batch.page.count > 0 && !self.put_page(&batch.page.id, batch.body).await {
             return;
         }
-        let change = commit::Change::Move(batch.page, batch.moved);
+        let change = change::Change::Move(batch.page, batch.moved);
         self.submit(change);
     }
 
@@ -346,9 +347,9 @@
         matches!(done, Ok(_) | Err(store::Error::Conflict { .. }))
     }
 
-    fn submit(&mut self, change: commit::Change) {
+    fn submit(&mut self, change: change::Change) {
         self.own -= 1;
-        self.commit.submit(commit::Ticket(self.own), change);
+        self.commit.submit(change::Ticket(self.own), change);
     }
 
     async fn forget(&mut self) {
@@ -363,7 +364,7 @@
         let cutoff = pages::cutoff(head, window, wall);
         let old = pages::old(head, window, wall);
         if let Some(cutoff) = cutoff {
-            self.submit(commit::Change::Expire(cutoff));
+            self.submit(change::Change::Expire(cutoff));
         }
         if let Some(old) = old {
             self.bury(old).await;
@@ -384,7 +385,7 @@
         let (page, body) = pages::bury(&self.pages, &bodies);
         if self.put_page(&page.id, body).await {
             let ids = old.into_iter().map(|page| page.id).collect();
-            self.submit(commit::Change::Bury(ids, page));
+            self.submit(change::Change::Bury(ids, page));
         }
     }
 }
--- a/crates/geraniumgauge/src/ledger/claim.rs
+++ b/crates/geraniumgauge/src/ledger/claim.rs
@@ -5,7 +5,7 @@
 use crate::document;
 use crate::home;
 use crate::ids;
-use crate::ledger::commit;
+use crate::ledger::change;
 use crate::ledger::entry;
 use crate::ledger::head;
 use crate::ledger::key;
@@ -48,7 +48,7 @@
         let bucket = self.bucket(&job.service, key::slot(&job.key));
         let within = left * CLAIM_PART / 100;
         match bucket.claim(&job.key, &job.entry, within).await {
-            commit::Verdict::Granted => self.granted(job).await,
+            change::Verdict::Granted => self.granted(job).await,
             verdict => {
                 if let Some(trial) = job.trial {
                     trial.finish(quarantine::trial::End::NotRun, &job.entry.upstream);
@@ -117,24 +117,24 @@
         Ok(())
     }
 
-    async fn not_granted(&self, key: &ids::Key, verdict: commit::Verdict) -> entry::Told {
+    async fn not_granted(&self, key: &ids::Key, verdict: change::Verdict) -> entry::Told {
         match verdict {
-            commit::Verdict::Taken(entry) => self.repeat(entry),
-            commit::Verdict::Paged(page) => match self.entry(key, &page).await {
+            change::Verdict::Taken(entry) => self.repeat(entry),
+            change::Verdict::Paged(page) => match self.entry(key, &page).await {
                 Ok(Some(entry)) => self.repeat(entry),
                 Ok(None) => Err(forgotten()),
                 Err(reason) => Err(query::Refusal::unknown(query::Code::Unavailable, reason)),
             },
-            commit::Verdict::Different => {
+            change::Verdict::Different => {
                 let text = "the key stands for another record; use a new key for a new record";
                 Err(query::Refusal::not_run(query::Code::Conflict, text))
             }
-            commit::Verdict::Expired => Err(expired()),
-            commit::Verdict::Full => {
+            change::Verdict::Expired => Err(expired()),
+            change::Verdict::Full => {
                 let text = "too many claims of the service have no known end; see `unsettled`";
                 Err(query::Refusal::not_run(query::Code::Unavailable, text))
             }
-            commit::Verdict::Failed(reason) => {
+            change::Verdict::Failed(reason) => {
                 let refusal = query::Refusal::not_run(query::Code::Unavailable, reason);
                 Err(refusal.retry_after(STORE_AGAIN))
             }
--- a/crates/geraniumgauge/src/ledger/commit.rs
+++ b/crates/geraniumgauge/src/ledger/commit.rs
@@ -8,10 +8,10 @@
 use std::collections;
 
 use crate::ids;
+use crate::ledger::change;
 use crate::ledger::head;
 use crate::ledger::key;
 use crate::store;
-use crate::time;
 
 /// Most changes in one update.
 const GROUP: usize = 256;
@@ -21,52 +21,6 @@
 /// a single lost connection is no outage.
 const PATIENCE: u32 = 2;
 
-/// Names one change that was submitted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(super) struct Ticket(pub(super) u64);
-
-/// A change to the bucket, or a question.
-#[derive(Debug, Clone)]
-pub(super) enum Change {
-    /// Create a claim.
-    Claim(ids::Key, head::Entry),
-    /// Replace a claim's state, where the same token still holds it.
-    Settle(ids::Key, head::Entry),
-    /// What is recorded of a key.
-    Look(ids::Key),
-    /// Entries that were written to a page leave the head.
-    Move(head::Page, Vec<(ids::Key, head::Token)>),
-    /// Timed keys up to this time are forgotten.
-    Expire(time::Wall),
-    /// Pages are replaced by one with the hashes of their keys.
-    Bury(Vec<String>, head::Page),
-}
-
-/// What came of a change.
-#[derive(Debug, Clone)]
-pub(super) enum Verdict {
-    /// The claim is in the store and its submitter may send.
-    Granted,
-    /// The key has a claim already.
-    Taken(head::Entry),
-    /// The key stands for another body.
-    Different,
-    /// The key is too old to tell.
-    Expired,
-    /// The key is in this page.
-    Paged(head::Page),
-    /// The bucket takes no more.
-    Full,
-    /// Nothing is recorded of the key.
-    Unseen,
-    /// The change is in the store.
-    Settled,
-    /// The pages that are no longer listed.
-    Dropped(Vec<head::Page>),
-    /// The store can't be had; the change has had no effect.
-    Failed(String),
-}
-
 /// What the worker does next.
 #[derive(Debug)]
 pub(super) enum Action {
@@ -84,8 +38,8 @@
 
 #[derive(Debug)]
 struct Pending {
-    ticket: Ticket,
-    change: Change,
+    ticket: change::Ticket,
+    change: change::Change,
     /// It was part of a write whose reply was lost.
     doubted: bool,
 }
@@ -102,23 +56,12 @@
 #[derive(Debug)]
 struct Flight {
     changes: Vec<Pending>,
-    verdicts: Vec<(Ticket, Verdict)>,
+    verdicts: Vec<(change::Ticket, change::Verdict)>,
     base: ids::ObjectVersion,
     head: head::Head,
     size: usize,
 }
 
-enum Applied {
-    /// The head has changed.
-    Changed(Verdict),
-    /// The head holds it already, or can't take it.
-    Same(Verdict),
-    /// What is known of the head may be out of date.
-    Refresh,
-    /// This page must be read first.
-    Load(head::Page),
-}
-
 /// Changes to one bucket that wait, and what is known of it.
 #[derive(Debug, Default)]
 pub(super) struct Commit {
@@ -134,16 +77,17 @@
     failures: u32,
     pause: bool,
     indexes: collections::HashMap<String, collections::HashSet<u128>>,
-    verdicts: Vec<(Ticket, Verdict)>,
+    verdicts: Vec<(change::Ticket, change::Verdict)>,
 }
 
 impl Commit {
     /// Takes a change.
-    pub(super) fn submit(&mut self, ticket: Ticket, change: Change) {
-        let claim = matches!(change, Change::Claim(..) | Change::Look(_));
+    pub(super) fn submit(&mut self, ticket: change::Ticket, change: change::Change) {
+        let claim = matches!(change, change::Change::Claim(..) | change::Change::Look(_));
         if claim && self.queue.len() >= QUEUE {
             let reason = "too many claims wait for the store".to_owned();
-            self.verdicts.push((ticket, Verdict::Failed(reason)));
+            self.verdicts
+                .push((ticket, change::Verdict::Failed(reason)));
             return;
         }
         let doubted = false;
@@ -156,18 +100,21 @@
 
     /// The submitter of a claim has given up and will not send. A claim that
     /// can't be in the store is dropped; any other is recorded as not run.
-    pub(super) fn abandon(&mut self, ticket: Ticket, key: ids::Key, entry: head::Entry) {
+    pub(super) fn abandon(&mut self, ticket: change::Ticket, key: ids::Key, entry: head::Entry) {
         let unsent = |pending: &Pending| pending.ticket == ticket && !pending.doubted;
         if let Some(at) = self.queue.iter().position(unsent) {
             self.queue.remove(at);
             return;
         }
         let state = head::State::NotRun;
-        self.submit(ticket, Change::Settle(key, head::Entry { state, ..entry }));
+        self.submit(
+            ticket,
+            change::Change::Settle(key, head::Entry { state, ..entry }),
+        );
     }
 
     /// Verdicts since the last call.
-    pub(super) fn verdicts(&mut self) -> Vec<(Ticket, Verdict)> {
+    pub(super) fn verdicts(&mut self) -> Vec<(change::Ticket, change::Verdict)> {
         std::mem::take(&mut self.verdicts)
     }
 
@@ -226,15 +173,15 @@
         let mut changed = self.doubt == Some(base);
         let mut taken = 0;
         for pending in self.queue.iter().take(GROUP) {
-            let applied = apply(&mut head, &pending.change, fresh, size, &self.indexes);
+            let applied = change::apply(&mut head, &pending.change, fresh, size, &self.indexes);
             match applied {
-                Applied::Changed(verdict) => {
+                change::Applied::Changed(verdict) => {
                     changed = true;
                     verdicts.push((pending.ticket, verdict));
                 }
-                Applied::Same(verdict) => verdicts.push((pending.ticket, verdict)),
-                Applied::Refresh => return Some(Action::Read),
-                Applied::Load(page) => return Some(Action::Load(page)),
+                change::Applied::Same(verdict) => verdicts.push((pending.ticket, verdict)),
+                change::Applied::Refresh => return Some(Action::Read),
+                change::Applied::Load(page) => return Some(Action::Load(page)),
             }
             taken += 1;
         }
@@ -359,8 +306,8 @@
             return;
         }
         let refusable = |pending: &Pending| match pending.change {
-            Change::Claim(..) => !pending.doubted,
-            Change::Look(_) => true,
+            change::Change::Claim(..) => !pending.doubted,
+            change::Change::Look(_) => true,
             _ => false,
         };
         let (refused, kept) = std::mem::take(&mut self.queue)
@@ -368,7 +315,7 @@
             .partition::<Vec<_>, _>(refusable);
         self.queue = kept.into();
         for pending in refused {
-            let verdict = Verdict::Failed(reason.to_owned());
+            let verdict = change::Verdict::Failed(reason.to_owned());
             self.verdicts.push((pending.ticket, verdict));
         }
     }
@@ -385,136 +332,6 @@
     Some(entries.keys().map(key::hash).collect())
 }
 
-fn apply(
-    head: &mut head::Head,
-    change: &Change,
-    fresh: bool,
-    size: usize,
-    indexes: &collections::HashMap<String, collections::HashSet<u128>>,
-) -> Applied {
-    match change {
-        Change::Claim(key, entry) => claim(head, key, entry, fresh, size, indexes),
-        Change::Settle(key, entry) => settle(head, key, entry),
-        Change::Look(key) => look(head, key, fresh, indexes),
-        Change::Move(page, moved) => move_out(head, page, moved),
-        Change::Expire(cutoff) => Applied::Changed(Verdict::Dropped(head.expire(*cutoff))),
-        Change::Bury(old, page) => bury(head, old, page),
-    }
-}
-
-fn claim(
-    head: &mut head::Head,
-    key: &ids::Key,
-    entry: &head::Entry,
-    fresh: bool,
-    size: usize,
-    indexes: &collections::HashMap<String, collections::HashSet<u128>>,
-) -> Applied {
-    if let Some(present) = head.entries.get(key) {
-        if present.token == entry.token && present.state == head::State::Claimed {
-            return Applied::Same(Verdict::Granted);
-        }
-        if present.fingerprint != entry.fingerprint {
-            return Applied::Same(Verdict::Different);
-        }
-        match present.state {
-            head::State::NotRun => {}
-            head::State::Claimed if !fresh => return Applied::Refresh,
-            _ => return Applied::Same(Verdict::Taken(present.clone())),
-        }
-    } else if let Some(found) = older(head, key, indexes) {
-        return found;
-    }
-    if size > head::FULL {
-        return Applied::Same(Verdict::Full);
-    }
-    head.entries.insert(key.clone(), entry.clone());
-    Applied::Changed(Verdict::Granted)
-}
-
-/// Looks beyond the head's own entries. `None` where the key is nowhere.
-fn older(
-    head: &head::Head,
-    key: &ids::Key,
-    indexes: &collections::HashMap<String, collections::HashSet<u128>>,
-) -> Option<Applied> {
-    let timed = key::time(key);
-    if timed.is_some_and(|time| time <= head.floor) {
-        return Some(Applied::Same(Verdict::Expired));
-    }
-    let hash = key::hash(key);
-    for page in head.pages.iter().filter(|page| page.may_hold(timed)) {
-        let Some(index) = indexes.get(&page.id) else {
-            return Some(Applied::Load(page.clone()));
-        };
-        if index.contains(&hash) {
-            return Some(Applied::Same(Verdict::Paged(page.clone())));
-        }
-    }
-    None
-}
-
-fn look(
-    head: &head::Head,
-    key: &ids::Key,
-    fresh: bool,
-    indexes: &collections::HashMap<String, collections::HashSet<u128>>,
-) -> Applied {
-    if !fresh {
-        return Applied::Refresh;
-    }
-    if let Some(present) = head.entries.get(key) {
-        return Applied::Same(Verdict::Taken(present.clone()));
-    }
-    older(head, key, indexes).unwrap_or(Applied::Same(Verdict::Unseen))
-}
-
-fn settle(head: &mut head::Head, key: &ids::Key, entry: &head::Entry) -> Applied {
-    let open = |present: &&mut head::Entry| {
-        present.token == entry.token && present.state == head::State::Claimed
-    };
-    if let Some(present) = head.entries.get_mut(key).filter(open) {
-        *present = entry.clone();
-        return Applied::Changed(Verdict::Settled);
-    }
-    Applied::Same(Verdict::Settled)
-}
-
-fn move_out(
-    head: &mut head::Head,
-    page: &head::Page,
-    moved: &[(ids::Key, head::Token)],
-) -> Applied {
-    let before = head.entries.len();
-    for (key, token) in moved {
-        let same = |present: &head::Entry| {
-            present.token == *token && present.state != head::State::Claimed
-        };
-        if head.entries.get(key).is_some_and(same) {
-            head.entries.remove(key);
-        }
-    }
-    if head.entries.len() == before {
-        return Applied::Same(Verdict::Settled);
-    }
-    if page.count > 0 {
-        head.pages.push(page.clone());
-    }
-    Applied::Changed(Verdict::Settled)
-}
-
-fn bury(head: &mut head::Head, old: &[String], page: &head::Page) -> Applied {
-    let listed = |id: &String| head.pages.iter().any(|page| page.id == *id);
-    if !old.iter().all(listed) {
-        // Another VM has done it.
-        return Applied::Same(Verdict::Dropped(Vec::new()));
-    }
-    let gone = |page: &mut head::Page| old.contains(&page.id);
-    let dropped = head.pages.extract_if(.., gone).collect();
-    head.pages.insert(0, page.clone());
-    Applied::Changed(Verdict::Dropped(dropped))
-}
-
 #[cfg(test)]
 #[path = "tests/commit.rs"]
 mod tests;
--- a/crates/geraniumgauge/src/ledger/entry.rs
+++ b/crates/geraniumgauge/src/ledger/entry.rs
@@ -28,6 +28,32 @@
 /// What a claimant ends with.
 pub(super) type Told = Result<Box<serde_json::value::RawValue>, query::Refusal>;
 
+/// How both VMs that were to claim for one registration have ended.
+#[derive(Debug, Default)]
+struct Ends {
+    claimant: Option<Told>,
+    own: Option<Told>,
+}
+
+impl Ends {
+    /// What the caller can be told. That one of them did not run it says
+    /// nothing while the other one may: only both together make it true.
+    fn take(&mut self) -> Option<Told> {
+        let done = |end: &mut Option<Told>| end.take_if(|end| end.is_ok());
+        if let Some(told) = done(&mut self.claimant).or_else(|| done(&mut self.own)) {
+            return Some(told);
+        }
+        let (Some(Err(claimant)), Some(Err(own))) = (&self.claimant, &self.own) else {
+            return None;
+        };
+        let told = match claimant.ran {
+            query::Ran::Unknown => claimant,
+            query::Ran::No => own,
+        };
+        Some(Err(told.clone()))
+    }
+}
+
 impl service::Service {
     /// Admits a registration, runs it and counts it.
     pub(super) async fn enter(
@@ -123,23 +149,18 @@
         tokio::pin!(own);
         let end = self.inner.timer.pause(left);
         tokio::pin!(end);
-        let mut waiting = true;
-        let mut claiming = true;
+        let mut ends = Ends::default();
         loop {
             tokio::select! {
                 biased;
-                answer = slot.answer(), if waiting => match answer {
-                    Some(answer) => return told(answer),
-                    None => waiting = false,
-                },
-                own = &mut own, if claiming => match own {
-                    Ok(result) => return Ok(result),
-                    Err(_) => claiming = false,
-                },
+                answer = slot.answer(), if ends.claimant.is_none() => {
+                    ends.claimant = Some(answer.map_or_else(|| Err(no_answer()), told));
+                }
+                own = &mut own, if ends.own.is_none() => ends.own = Some(own),
                 _ = &mut end => return Err(no_answer()),
             }
-            if !waiting && !claiming {
-                return Err(no_answer());
+            if let Some(told) = ends.take() {
+                return told;
             }
         }
     }
--- a/crates/geraniumgauge/src/ledger/mod.rs
+++ b/crates/geraniumgauge/src/ledger/mod.rs
@@ -12,6 +12,7 @@
 mod admit;
 mod book;
 mod bucket;
+mod change;
 mod claim;
 mod commit;
 mod entry;
--- a/crates/geraniumgauge/src/ledger/service.rs
+++ b/crates/geraniumgauge/src/ledger/service.rs
@@ -14,7 +14,7 @@
 use crate::ledger::admit;
 use crate::ledger::book;
 use crate::ledger::bucket;
-use crate::ledger::commit;
+use crate::ledger::change;
 use crate::ledger::head;
 use crate::ledger::key;
 use crate::ledger::meter;
@@ -31,6 +31,9 @@
 
 /// Tokens a service's retry budget holds at most.
 const RETRY_CAP: f64 = 10.0;
+/// Attempts are numbered from the incarnation, in milliseconds, shifted by this:
+/// a start that makes fewer than a million a millisecond repeats no number.
+const ATTEMPT_BITS: u32 = 20;
 /// Longest read of one key's state.
 const LOOK: time::Duration = time::Duration::from_secs(2);
 
@@ -104,6 +107,8 @@
         timer: timer::Service,
         meter: &metrics::Meter,
     ) -> Self {
+        // Replies to an earlier start of this VM must fit no attempt of this one.
+        let first = config.incarnation.0 << ATTEMPT_BITS;
         let inner = Inner {
             config,
             catalog,
@@ -115,7 +120,7 @@
             clock,
             timer,
             meter: meter::Meter::new(meter),
-            attempts: atomic::AtomicU64::new(1),
+            attempts: atomic::AtomicU64::new(first),
             buckets: sync::Mutex::default(),
             records: table::Table::default(),
             handed: table::Table::default(),
@@ -218,10 +223,10 @@
         }
         let bucket = self.bucket(service, key::slot(key));
         match bucket.look(key, LOOK).await {
-            commit::Verdict::Taken(entry) => Ok(ledger::Standing::of(entry)),
-            commit::Verdict::Paged(page) => self.paged(key, &page).await,
-            commit::Verdict::Unseen | commit::Verdict::Expired => Ok(ledger::Standing::unseen()),
-            commit::Verdict::Failed(reason) => {
+            change::Verdict::Taken(entry) => Ok(ledger::Standing::of(entry)),
+            change::Verdict::Paged(page) => self.paged(key, &page).await,
+            change::Verdict::Unseen | change::Verdict::Expired => Ok(ledger::Standing::unseen()),
+            change::Verdict::Failed(reason) => {
                 Err(query::Refusal::not_run(query::Code::Unavailable, reason))
             }
             _ => Ok(ledger::Standing::forgotten()),
--- a/crates/geraniumgauge/src/ledger/table.rs
+++ b/crates/geraniumgauge/src/ledger/table.rs
@@ -29,6 +29,7 @@
     waiting: sync::Arc<sync::Mutex<Waiting<T>>>,
     attempt: ids::Attempt,
     answer: oneshot::Receiver<T>,
+    ended: bool,
 }
 
 impl<T> Table<T> {
@@ -40,6 +41,7 @@
             waiting: self.waiting.clone(),
             attempt,
             answer,
+            ended: false,
         }
     }
 
@@ -62,10 +64,15 @@
 }
 
 impl<T> Slot<T> {
-    /// The answer; `None` where the link was lost. May be called again after
-    /// being cancelled.
+    /// The answer; `None` where the link was lost or it was taken before. May
+    /// be called again after being cancelled.
     pub(super) async fn answer(&mut self) -> Option<T> {
-        (&mut self.answer).await.ok()
+        if self.ended {
+            return None;
+        }
+        let answer = (&mut self.answer).await.ok();
+        self.ended = true;
+        answer
     }
 }
 
--- a/crates/geraniumgauge/src/ledger/tests/mod.rs
+++ b/crates/geraniumgauge/src/ledger/tests/mod.rs
@@ -1,1 +1,5 @@
-//! Tests.
+//! Failure tests of the whole ledger over a store, homes and links that fail.
+
+mod property;
+mod stories;
+mod world;
--- /dev/null
+++ b/crates/geraniumgauge/src/ledger/tests/world.rs
@@ -0,0 +1,465 @@
+//! Three VMs, a store, homes and links with faults drawn from a seed, all on
+//! tokio's paused clock. Counts what upstreams ran.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use tokio::sync::watch;
+
+use crate::document;
+use crate::ids;
+use crate::layout;
+use crate::ledger;
+use crate::member;
+use crate::mesh;
+use crate::mesh::message;
+use crate::metrics;
+use crate::quarantine;
+use crate::query;
+use crate::slo;
+use crate::store;
+use crate::time as clock;
+use crate::timer;
+
+/// One record that an upstream ran.
+#[derive(Debug, Clone)]
+pub(super) struct Run {
+    pub(super) key: String,
+    pub(super) request: String,
+    pub(super) result: String,
+}
+
+/// One start of a VM.
+pub(super) struct Node {
+    vm: ids::Vm,
+    dead: atomic::AtomicBool,
+    service: sync::OnceLock<ledger::Service>,
+}
+
+impl Node {
+    pub(super) fn service(&self) -> &ledger::Service {
+        self.service.get().unwrap()
+    }
+
+    fn is_dead(&self) -> bool {
+        self.dead.load(atomic::Ordering::Relaxed)
+    }
+
+    /// What a dead VM was about to do never happens.
+    async fn gate(&self) {
+        if self.is_dead() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+pub(super) struct World {
+    rng: sync::Mutex<rand::rngs::StdRng>,
+    objects: sync::Mutex<store::Objects>,
+    nodes: sync::Mutex<collections::BTreeMap<ids::Vm, sync::Arc<Node>>>,
+    runs: sync::Mutex<Vec<Run>>,
+    pub(super) faults: atomic::AtomicU64,
+    /// Faults end, so that the end state can be read.
+    pub(super) calm: atomic::AtomicBool,
+    catalog: document::Catalog,
+    pub(super) clock: clock::Clock,
+    incarnations: atomic::AtomicU64,
+}
+
+pub(super) type Shared = sync::Arc<World>;
+
+pub(super) fn service() -> ids::Service {
+    "labels".parse().unwrap()
+}
+
+fn vm(number: usize) -> ids::Vm {
+    format!("vm-{number}").parse().unwrap()
+}
+
+fn millis(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
+}
+
+fn layout() -> layout::Layout {
+    let upstream = |n: usize| layout::Upstream {
+        id: format!("up-{n}").parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "dc".parse().unwrap(),
+        slots: 2,
+        connections: 25,
+        connect_ms: 6,
+    };
+    let replicas = vec!["up-0".parse().unwrap(), "up-1".parse().unwrap()];
+    layout::Layout {
+        version: ids::LayoutVersion(1),
+        upstreams: (0..2).map(upstream).collect(),
+        shards: vec![layout::Shard {
+            id: "s0".parse().unwrap(),
+            replicas,
+        }],
+    }
+}
+
+impl World {
+    pub(super) fn new(seed: u64) -> Shared {
+        let catalog = document::Catalog::default();
+        catalog.put_document(
+            &service(),
+            ids::Generation(1),
+            document::Document::default(),
+        );
+        catalog.put_layout(&service(), layout());
+        let world = sync::Arc::new(Self {
+            rng: sync::Mutex::new(rand::rngs::StdRng::seed_from_u64(seed)),
+            objects: sync::Mutex::default(),
+            nodes: sync::Mutex::default(),
+            runs: sync::Mutex::default(),
+            faults: atomic::AtomicU64::new(0),
+            calm: atomic::AtomicBool::new(false),
+            catalog,
+            clock: clock::Clock::start(),
+            incarnations: atomic::AtomicU64::new(1),
+        });
+        for number in 0..3 {
+            world.start(&vm(number));
+        }
+        world
+    }
+
+    /// Starts a VM, or its replacement under the same name.
+    pub(super) fn start(self: &sync::Arc<Self>, name: &ids::Vm) -> sync::Arc<Node> {
+        let incarnation = self.incarnations.fetch_add(1, atomic::Ordering::Relaxed);
+        let node = sync::Arc::new(Node {
+            vm: name.clone(),
+            dead: atomic::AtomicBool::new(false),
+            service: sync::OnceLock::new(),
+        });
+        let link = sync::Arc::new(Link {
+            world: self.clone(),
+            node: node.clone(),
+        });
+        let config = ledger::Config {
+            vm: name.clone(),
+            incarnation: ids::Incarnation(incarnation),
+            data_centre: "dc".parse().unwrap(),
+        };
+        let service = ledger::Service::start(
+            config,
+            self.catalog.clone(),
+            self.view(name),
+            link.clone(),
+            link.clone(),
+            link.clone(),
+            link,
+            self.clock,
+            timer::Service::new(tokio_util::sync::CancellationToken::new()),
+            &metrics::Metrics::new().unwrap().meter(),
+        );
+        assert!(node.service.set(service).is_ok());
+        self.nodes
+            .lock()
+            .unwrap()
+            .insert(name.clone(), node.clone());
+        node
+    }
+
+    /// Each VM's own view: now and then one that lacks another VM.
+    fn view(&self, local: &ids::Vm) -> watch::Receiver<member::Shared> {
+        let member = |number: usize| member::Member {
+            vm: vm(number),
+            incarnation: ids::Incarnation(1),
+            data_centre: "dc".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            state: member::State::Alive,
+        };
+        let seen = |member: &member::Member| member.vm == *local || !self.chance(0.1);
+        let members = (0..3).map(member).filter(seen).collect();
+        let view = member::View::new(local.clone(), members);
+        watch::channel(sync::Arc::new(view)).1
+    }
+
+    pub(super) fn node(&self, number: usize) -> sync::Arc<Node> {
+        self.nodes.lock().unwrap()[&vm(number)].clone()
+    }
+
+    pub(super) fn runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap().clone()
+    }
+
+    pub(super) fn objects(&self) -> store::Fake {
+        let fake = store::Fake::new();
+        fake.restore(self.objects.lock().unwrap().clone());
+        fake
+    }
+
+    pub(super) fn chance(&self, share: f64) -> bool {
+        self.rng.lock().unwrap().random_bool(share)
+    }
+
+    pub(super) fn below(&self, most: u64) -> u64 {
+        self.rng.lock().unwrap().random_range(0..most)
+    }
+
+    /// Draws a fault; none once the world is calm.
+    fn fault(&self, share: f64) -> bool {
+        let drawn = !self.calm.load(atomic::Ordering::Relaxed) && self.chance(share);
+        if drawn {
+            self.faults.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        drawn
+    }
+
+    /// Sometimes the VM is lost here, for good; another may take its name.
+    fn maybe_die(self: &sync::Arc<Self>, node: &sync::Arc<Node>) {
+        if !self.fault(0.01) {
+            return;
+        }
+        node.dead.store(true, atomic::Ordering::Relaxed);
+        let world = self.clone();
+        let name = node.vm.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(millis(world.below(1500))).await;
+            let all: Vec<_> = world.nodes.lock().unwrap().values().cloned().collect();
+            for other in all.iter().filter(|other| other.vm != name) {
+                other.service().lost(&name);
+            }
+            world.start(&name);
+        });
+    }
+
+    /// The VM is paused here: the time goes by at once, so its timers and the
+    /// reply that it waits for are both due when it wakes.
+    async fn maybe_pause(&self) {
+        if self.fault(0.02) {
+            tokio::time::advance(millis(self.below(3000))).await;
+        } else if self.fault(0.05) {
+            tokio::time::sleep(millis(self.below(1500))).await;
+        }
+    }
+
+    fn run(&self, record: &message::Record) -> bytes::Bytes {
+        let mut runs = self.runs.lock().unwrap();
+        let result = format!("{{\"run\":{}}}", runs.len());
+        runs.push(Run {
+            key: record.key.clone(),
+            request: record.request.clone(),
+            result: result.clone(),
+        });
+        result.into()
+    }
+
+    /// A home and its upstream, as the claimant sees them.
+    async fn home(self: sync::Arc<Self>, from: ids::Vm, home: ids::Vm, record: message::Record) {
+        use message::Outcome;
+        self.maybe_pause().await;
+        tokio::time::sleep(millis(1 + self.below(20))).await;
+        let (outcome, body) = match self.below(100) {
+            _ if self.calm.load(atomic::Ordering::Relaxed) => (Outcome::Hits, self.run(&record)),
+            0..60 => (Outcome::Hits, self.run(&record)),
+            60..75 => {
+                let refusals = [Outcome::Late, Outcome::Shed, Outcome::Draining];
+                let more = [Outcome::Unreachable, Outcome::NotHome, Outcome::Stopping];
+                let all = [refusals, more].concat();
+                let at = usize::try_from(self.below(6)).unwrap();
+                (all[at], bytes::Bytes::new())
+            }
+            // Half sent: the connection went before the upstream had it all.
+            75..80 => (Outcome::Lost, bytes::Bytes::new()),
+            80..88 => {
+                self.run(&record);
+                let ends = [Outcome::Lost, Outcome::Silent, Outcome::Deadline];
+                let at = usize::try_from(self.below(3)).unwrap();
+                (ends[at], bytes::Bytes::new())
+            }
+            // Silent: ran or not, no reply comes.
+            88..92 => return,
+            92..96 => {
+                self.run(&record);
+                return;
+            }
+            // The home was paused and sends long after.
+            _ => {
+                tokio::time::sleep(millis(self.below(4000))).await;
+                (Outcome::Hits, self.run(&record))
+            }
+        };
+        tokio::time::sleep(millis(1 + self.below(30))).await;
+        self.maybe_pause().await;
+        let reply = message::RecordReply {
+            attempt: record.attempt,
+            outcome: outcome.into(),
+            body,
+        };
+        let node = self.nodes.lock().unwrap().get(&from).cloned();
+        let node = node.unwrap();
+        if self.fault(0.05) {
+            node.service().lost(&home);
+        } else if !node.is_dead() {
+            node.service().record_reply(&home, reply);
+        }
+    }
+
+    /// A frame between VMs: delivered, late, or lost with its link.
+    async fn deliver(self: sync::Arc<Self>, from: ids::Vm, to: ids::Vm, body: message::Body) {
+        tokio::time::sleep(millis(1 + self.below(3))).await;
+        let node = self.nodes.lock().unwrap().get(&to).cloned().unwrap();
+        let lost = self.fault(0.06) || node.is_dead();
+        if lost || self.fault(0.03) {
+            tokio::time::sleep(millis(self.below(300))).await;
+            let sender = self.nodes.lock().unwrap().get(&from).cloned().unwrap();
+            sender.service().lost(&to);
+        }
+        if lost {
+            return;
+        }
+        self.maybe_pause().await;
+        match body {
+            message::Body::Register(register) => node.service().handed(&from, register),
+            message::Body::Registered(registered) => node.service().registered(&from, registered),
+            _ => {}
+        }
+    }
+}
+
+/// What one start of a VM sees of the world.
+struct Link {
+    world: Shared,
+    node: sync::Arc<Node>,
+}
+
+impl Link {
+    /// A write, with what can go wrong before, during and after it.
+    async fn write<T>(
+        &self,
+        key: &str,
+        change: impl Fn(&mut store::Objects) -> Result<T, store::Error> + Send + 'static,
+    ) -> Result<T, store::Error> {
+        let world = &self.world;
+        self.node.gate().await;
+        world.maybe_die(&self.node);
+        world.maybe_pause().await;
+        self.node.gate().await;
+        let unsure = || {
+            Err(store::Error::Unsure {
+                key: key.to_owned(),
+                reason: "the reply was lost".to_owned(),
+            })
+        };
+        tokio::time::sleep(millis(1 + world.below(5))).await;
+        if world.fault(0.05) {
+            return Err(down());
+        }
+        if world.fault(0.03) {
+            return unsure();
+        }
+        if world.fault(0.04) {
+            // The write arrives after its writer has been told nothing.
+            let world = world.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(millis(world.below(400))).await;
+                let _ = change(&mut world.objects.lock().unwrap());
+            });
+            return unsure();
+        }
+        let done = change(&mut world.objects.lock().unwrap());
+        world.maybe_die(&self.node);
+        world.maybe_pause().await;
+        self.node.gate().await;
+        if world.fault(0.06) {
+            return unsure();
+        }
+        done
+    }
+}
+
+fn down() -> store::Error {
+    let reason = "down".to_owned();
+    store::Error::Unavailable { reason }
+}
+
+#[async_trait::async_trait]
+impl store::Api for Link {
+    async fn get(&self, key: &str) -> Result<store::Object, store::Error> {
+        self.node.gate().await;
+        tokio::time::sleep(millis(1 + self.world.below(5))).await;
+        if self.world.fault(0.05) {
+            return Err(down());
+        }
+        let found = self.world.objects.lock().unwrap().get(key);
+        self.world.maybe_pause().await;
+        self.node.gate().await;
+        found
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        body: bytes::Bytes,
+        condition: store::Condition,
+    ) -> Result<ids::ObjectVersion, store::Error> {
+        let name = key.to_owned();
+        let change =
+            move |objects: &mut store::Objects| objects.put(&name, body.clone(), condition);
+        self.write(key, change).await
+    }
+
+    async fn delete(&self, key: &str, condition: store::Condition) -> Result<(), store::Error> {
+        let name = key.to_owned();
+        let change = move |objects: &mut store::Objects| objects.delete(&name, condition);
+        self.write(key, change).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Error> {
+        Ok(self.world.objects.lock().unwrap().list(prefix))
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: ids::Revision,
+        _wait: time::Duration,
+    ) -> Result<store::Listing, store::Error> {
+        Ok(self.world.objects.lock().unwrap().changes(prefix, after))
+    }
+
+    async fn vms(&self) -> Result<Vec<store::Vm>, store::Error> {
+        Ok(Vec::new())
+    }
+}
+
+impl mesh::Post for Link {
+    fn send(&self, to: &ids::Vm, body: message::Body) -> Result<(), mesh::Error> {
+        if self.node.is_dead() {
+            return Ok(());
+        }
+        if self.world.fault(0.03) {
+            return Err(mesh::Error::Full { vm: to.clone() });
+        }
+        self.world.maybe_die(&self.node);
+        let (world, from, to) = (self.world.clone(), self.node.vm.clone(), to.clone());
+        match body {
+            message::Body::Record(record) => tokio::spawn(world.home(from, to, record)),
+            body => tokio::spawn(world.deliver(from, to, body)),
+        };
+        Ok(())
+    }
+}
+
+#[async_trait::async_trait]
+impl ledger::Book for Link {
+    async fn admit(
+        &self,
+        _service: &ids::Service,
+        _fingerprint: ids::Fingerprint,
+    ) -> Result<Option<quarantine::Trial>, query::Refusal> {
+        Ok(None)
+    }
+}
+
+impl slo::Record for Link {
+    fn record(&self, _event: &slo::Event) {}
+}
