--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -17,8 +17,7 @@
 }
 
 /// What is wrong with a command line.
-#[derive(Debug, PartialEq, Eq)]
-#[derive(derive_more::Display, derive_more::Error)]
+#[derive(Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub(crate) enum Error {
     /// No settings file is named.
     #[display("--settings FILE is missing; name the settings file")]
@@ -34,8 +33,14 @@
 /// Each flag with its meaning.
 const FLAGS: &[(&str, &str)] = &[
     ("--settings FILE", "the settings, JSON with comments"),
-    ("--check", "only check the settings; print findings and exit with 2 where there are any"),
-    ("--help", "print this page and each setting with its range and default"),
+    (
+        "--check",
+        "only check the settings; print findings and exit with 2 where there are any",
+    ),
+    (
+        "--help",
+        "print this page and each setting with its range and default",
+    ),
     ("--version", "print the version"),
 ];
 
@@ -62,9 +67,15 @@
     let path = args.value_from_os_str("--settings", |text| Ok::<_, Error>(text.into()));
     let path: path::PathBuf = path.map_err(|_| Error::Missing)?;
     if let Some(rest) = args.finish().first() {
-        return Err(Error::Unknown { what: rest.to_string_lossy().into_owned() });
+        return Err(Error::Unknown {
+            what: rest.to_string_lossy().into_owned(),
+        });
     }
-    Ok(if check { Order::Check(path) } else { Order::Run(path) })
+    Ok(if check {
+        Order::Check(path)
+    } else {
+        Order::Run(path)
+    })
 }
 
 #[cfg(test)]
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -61,7 +61,10 @@
         eprintln!("geraniumgauged: {error}");
         return FAILED.into();
     }
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => {
             log::error!("the runtime can't start: {error}");
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -13,6 +13,7 @@
 use geraniumgauge::finding;
 use geraniumgauge::ids;
 use geraniumgauge::jsonc;
+use geraniumgauge::query;
 use geraniumgauge::rate;
 
 use crate::fields::FIELDS;
@@ -41,7 +42,7 @@
     /// Sizes and counts beyond which input is refused.
     pub(crate) limits: Limits,
     /// How fan-outs are run.
-    pub(crate) policy: Policy,
+    pub(crate) policy: query::Policy,
 }
 
 /// What is logged, and where to.
@@ -78,19 +79,6 @@
     pub(crate) requests: u32,
 }
 
-/// How fan-outs are run. All but `full` are baselines to measure against.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::FromStr)]
-#[display(rename_all = "kebab-case")]
-#[from_str(rename_all = "kebab-case")]
-pub(crate) enum Policy {
-    /// Homes, hedges, retries and canaries, each within its budget.
-    Full,
-    /// As `full`, but no shard call is hedged.
-    NoHedge,
-    /// Each VM calls upstreams itself; no homes, hedges or retries.
-    Direct,
-}
-
 const NOWHERE: net::SocketAddr =
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED), 0);
 
@@ -151,7 +139,7 @@
                 frame: rate::Bytes(4 << 20),
                 requests: 2048,
             },
-            policy: Policy::Full,
+            policy: query::Policy::Full,
         }
     }
 
--- a/crates/geraniumgauge/src/document/schema.rs
+++ b/crates/geraniumgauge/src/document/schema.rs
@@ -49,7 +49,7 @@
     serde::Serialize,
     serde::Deserialize,
     derive_more::Display,
-    derive_more::FromStr,
+    derive_more::FromStr
 )]
 #[serde(rename_all = "lowercase")]
 #[display(rename_all = "lowercase")]
--- a/crates/geraniumgauge/src/finding.rs
+++ b/crates/geraniumgauge/src/finding.rs
@@ -15,7 +15,7 @@
     Ord,
     serde::Serialize,
     serde::Deserialize,
-    derive_more::Display,
+    derive_more::Display
 )]
 #[display("{file}:{line}:{column}")]
 pub struct Place {
--- a/crates/geraniumgauge/src/home/state/lines.rs
+++ b/crates/geraniumgauge/src/home/state/lines.rs
@@ -8,7 +8,16 @@
 
 /// Names a connection of this home; never used again.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display
 )]
 pub struct Link(pub u64);
 
--- a/crates/geraniumgauge/src/ledger/claim.rs
+++ b/crates/geraniumgauge/src/ledger/claim.rs
@@ -51,7 +51,7 @@
             change::Verdict::Granted => self.granted(job).await,
             verdict => {
                 if let Some(trial) = job.trial {
-                    trial.finish(quarantine::trial::End::NotRun, &job.entry.upstream);
+                    trial.finish(quarantine::trial::End::NotRun, None);
                 }
                 self.not_granted(&job.key, verdict).await
             }
@@ -193,7 +193,7 @@
         let (sending, end) = self.attempts(&job).await;
         let upstream = sending.upstream().clone();
         if let Some(trial) = job.trial.take() {
-            trial.finish(sending.trial_end(&end), &upstream);
+            trial.finish(sending.trial_end(&end), Some(&upstream));
         }
         let moved = job.entry.upstream != upstream;
         let entry = head::Entry {
--- a/crates/geraniumgauge/src/ledger/head.rs
+++ b/crates/geraniumgauge/src/ledger/head.rs
@@ -23,7 +23,7 @@
     Hash,
     derive_more::Display,
     serde::Serialize,
-    serde::Deserialize,
+    serde::Deserialize
 )]
 #[serde(transparent)]
 pub(super) struct Token(String);
@@ -37,7 +37,14 @@
 
 /// Where a claim stands.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, serde::Serialize, serde::Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    derive_more::Display,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
--- a/crates/geraniumgauge/src/ledger/standing.rs
+++ b/crates/geraniumgauge/src/ledger/standing.rs
@@ -6,7 +6,14 @@
 
 /// Where a key stands.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, serde::Serialize, serde::Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    derive_more::Display,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
--- a/crates/geraniumgauge/src/ledger/tests/world.rs
+++ b/crates/geraniumgauge/src/ledger/tests/world.rs
@@ -190,12 +190,6 @@
         self.runs.lock().unwrap().clone()
     }
 
-    pub(super) fn objects(&self) -> store::Fake {
-        let fake = store::Fake::new();
-        fake.restore(self.objects.lock().unwrap().clone());
-        fake
-    }
-
     pub(super) fn chance(&self, share: f64) -> bool {
         self.rng.lock().unwrap().random_bool(share)
     }
--- a/crates/geraniumgauge/src/mesh/message.rs
+++ b/crates/geraniumgauge/src/mesh/message.rs
@@ -129,7 +129,17 @@
 }
 
 /// Why a call is made.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    prost::Enumeration
+)]
 pub enum Kind {
     /// The first for its shard and pin.
     First = 0,
@@ -193,7 +203,17 @@
 }
 
 /// What became of a call at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    prost::Enumeration
+)]
 pub enum Outcome {
     /// Unset or of a newer kind: treated as [`Outcome::Lost`].
     Unknown = 0,
--- a/crates/geraniumgauge/src/quarantine/mark.rs
+++ b/crates/geraniumgauge/src/quarantine/mark.rs
@@ -41,7 +41,7 @@
     Hash,
     serde::Serialize,
     serde::Deserialize,
-    derive_more::Display,
+    derive_more::Display
 )]
 #[serde(rename_all = "lowercase")]
 #[display(rename_all = "lowercase")]
--- a/crates/geraniumgauge/src/quarantine/mod.rs
+++ b/crates/geraniumgauge/src/quarantine/mod.rs
@@ -23,14 +23,21 @@
 pub use mark::Mark;
 pub use mark::State;
 pub use service::Config;
-pub use service::Denied;
 pub use service::Service;
 pub use service::Spread;
-pub use service::Trial;
 
 /// What holds for a request before it runs.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display
 )]
 #[display(rename_all = "lowercase")]
 pub enum Verdict {
--- a/crates/geraniumgauge/src/quarantine/trial.rs
+++ b/crates/geraniumgauge/src/quarantine/trial.rs
@@ -27,7 +27,15 @@
 pub const PREFIX: &str = "quarantine/";
 
 /// A service's object in the store.
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 #[serde(default)]
 pub struct Ledger {
     /// What is held.
@@ -50,7 +58,17 @@
 }
 
 /// What became of a trial.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display
+)]
 #[display(rename_all = "snake_case")]
 pub enum End {
     /// The upstream answered.
--- a/crates/geraniumgauge/src/query/answer.rs
+++ b/crates/geraniumgauge/src/query/answer.rs
@@ -37,7 +37,16 @@
 
 /// A version of a service's indexes.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize
 )]
 pub struct Snapshot {
     /// The index version.
@@ -80,7 +89,7 @@
     Hash,
     serde::Serialize,
     serde::Deserialize,
-    derive_more::Display,
+    derive_more::Display
 )]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
@@ -140,7 +149,7 @@
     serde::Serialize,
     serde::Deserialize,
     derive_more::Display,
-    derive_more::FromStr,
+    derive_more::FromStr
 )]
 #[serde(rename_all = "lowercase")]
 #[display(rename_all = "lowercase")]
@@ -165,7 +174,7 @@
     serde::Serialize,
     serde::Deserialize,
     derive_more::Display,
-    derive_more::FromStr,
+    derive_more::FromStr
 )]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -28,7 +28,14 @@
 /// How calls are placed and repeated. All but [`Policy::Full`] are baselines
 /// for measurements.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, derive_more::Display, derive_more::FromStr,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    derive_more::Display,
+    derive_more::FromStr
 )]
 pub enum Policy {
     /// Everything.
--- a/crates/geraniumgauge/src/rate.rs
+++ b/crates/geraniumgauge/src/rate.rs
@@ -23,7 +23,7 @@
     PartialOrd,
     serde::Serialize,
     serde::Deserialize,
-    derive_more::Display,
+    derive_more::Display
 )]
 #[display("{_0}")]
 #[serde(try_from = "f64", into = "f64")]
@@ -91,7 +91,7 @@
     Hash,
     serde::Serialize,
     serde::Deserialize,
-    derive_more::Display,
+    derive_more::Display
 )]
 #[display("{_0} B")]
 #[serde(transparent)]
@@ -121,7 +121,7 @@
     PartialOrd,
     serde::Serialize,
     serde::Deserialize,
-    derive_more::Display,
+    derive_more::Display
 )]
 #[display("{_0}/s")]
 #[serde(transparent)]
--- a/crates/geraniumgauge/src/time.rs
+++ b/crates/geraniumgauge/src/time.rs
@@ -9,7 +9,16 @@
 
 /// A monotonic point in time of this process, in microseconds since it started.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display
 )]
 #[display("{_0}us")]
 pub struct Moment(pub u64);
@@ -56,7 +65,7 @@
     Hash,
     serde::Serialize,
     serde::Deserialize,
-    derive_more::Display,
+    derive_more::Display
 )]
 #[serde(transparent)]
 pub struct Wall(pub u64);
--- a/crates/geraniumgauge/src/upstream/connection.rs
+++ b/crates/geraniumgauge/src/upstream/connection.rs
@@ -49,7 +49,15 @@
 }
 
 /// An upstream didn't answer a request for a report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    derive_more::Display,
+    derive_more::Error
+)]
 #[display("no answer")]
 pub struct Unanswered {
     /// No connection could be had.
--- a/crates/geraniumgauge/src/upstream/reply.rs
+++ b/crates/geraniumgauge/src/upstream/reply.rs
@@ -67,7 +67,15 @@
 }
 
 /// What an upstream says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 #[serde(rename_all = "lowercase")]
 pub enum Status {
     /// It takes work.
@@ -79,7 +87,15 @@
 }
 
 /// A health report: a hint that may lag or mislead.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 pub struct Health {
     /// What it says of itself.
     pub status: Status,
--- a/crates/geraniumgauge/src/vm/backend.rs
+++ b/crates/geraniumgauge/src/vm/backend.rs
@@ -87,6 +87,9 @@
 /// An id without the VM's name, for names so long that the id exceeds its limit.
 fn fallback(number: u64) -> ids::Request {
     let text = format!("r-{:x}-{number:x}", rand::random::<u64>());
-    #[expect(clippy::expect_used, reason = "hexadecimal digits and dashes are an identifier")]
+    #[expect(
+        clippy::expect_used,
+        reason = "hexadecimal digits and dashes are an identifier"
+    )]
     text.parse().expect("a valid request id")
 }
--- a/crates/geraniumgauge/src/vm/dispatch.rs
+++ b/crates/geraniumgauge/src/vm/dispatch.rs
@@ -22,6 +22,7 @@
     pub(super) ledger: ledger::Service,
     pub(super) document: document::Service,
     pub(super) book: quarantine::Service,
+    pub(super) direct: sync::Arc<quarantine::Direct>,
 }
 
 /// Takes frames from the mesh. The mesh is there before the duties, which send
@@ -41,7 +42,9 @@
 
 impl mesh::Receive for Dispatch {
     fn receive(&self, from: &ids::Vm, body: message::Body) {
-        let Some(targets) = self.targets.get() else { return };
+        let Some(targets) = self.targets.get() else {
+            return;
+        };
         match body {
             message::Body::Batch(batch) => targets.home.batch(from, batch),
             message::Body::Cancel(cancel) => targets.home.cancel(from, cancel),
@@ -52,13 +55,21 @@
             message::Body::Registered(done) => targets.ledger.registered(from, done),
             message::Body::Pull(pull) => targets.document.pull(from, pull),
             message::Body::Pulled(pulled) => targets.document.pulled(from, pulled),
-            message::Body::Mark(mark) => targets.book.received(&mark),
-            message::Body::Bye(_) | message::Body::Hello(_) | message::Body::Beat(_) | message::Body::BeatReply(_) => {}
+            message::Body::Mark(mark) => {
+                targets.direct.relay(&mark);
+                targets.book.received(&mark);
+            }
+            message::Body::Bye(_)
+            | message::Body::Hello(_)
+            | message::Body::Beat(_)
+            | message::Body::BeatReply(_) => {}
         }
     }
 
     fn lost(&self, vm: &ids::Vm) {
-        let Some(targets) = self.targets.get() else { return };
+        let Some(targets) = self.targets.get() else {
+            return;
+        };
         targets.home.lost(vm);
         targets.query.lost(vm);
         targets.ledger.lost(vm);
@@ -84,23 +95,9 @@
     }
 }
 
-/// Spreads marks by rumour, and at once by a frame to every VM: a caller sends a
-/// request again sooner than a rumour has gone round.
-pub(super) struct Marks {
-    pub(super) member: member::Service,
-    pub(super) post: sync::Arc<dyn mesh::Post>,
-}
-
-impl quarantine::Spread for Marks {
+impl quarantine::Spread for member::Service {
     fn publish(&self, rumour: member::Rumour) {
-        let view = sync::Arc::clone(&self.member.view().borrow());
-        let others = view.members.iter().filter(|member| member.vm != view.local);
-        for other in others {
-            let mark = message::Mark { body: rumour.body.clone() };
-            // A VM that can't be reached now hears of it by rumour.
-            let _ = self.post.send(&other.vm, message::Body::Mark(mark));
-        }
-        self.member.publish(rumour);
+        self.publish(rumour);
     }
 }
 
--- a/crates/geraniumgauge/src/vm/mod.rs
+++ b/crates/geraniumgauge/src/vm/mod.rs
@@ -14,26 +14,23 @@
 use std::time;
 
 use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
 
 use crate::document;
 use crate::home;
 use crate::http;
-use crate::ids;
 use crate::ledger;
 use crate::member;
 use crate::mesh;
 use crate::metrics;
-use crate::quarantine;
 use crate::query;
-use crate::slo;
 use crate::store;
 
 /// Tries for a port that is free for both TCP and UDP, where any will do.
 const PORT_TRIES: u32 = 20;
 
 /// Why a VM can't start.
-#[derive(Debug)]
-#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// The mesh address can't be had.
     #[from(ignore)]
@@ -67,10 +64,10 @@
     pub mesh: net::SocketAddr,
 }
 
-/// A running VM.
+/// A running VM. Dropping it ends its tasks without a graceful stop.
 pub struct Vm {
     config: Config,
-    stop: CancellationToken,
+    stop: DropGuard,
     gate: http::Gate,
     callers: http::Server,
     operators: http::Server,
@@ -86,7 +83,6 @@
     pub(crate) query: query::Service,
     pub(crate) ledger: ledger::Service,
     pub(crate) document: document::Service,
-    pub(crate) slo: slo::Service,
     pub(crate) metrics: metrics::Metrics,
 }
 
@@ -98,7 +94,9 @@
     /// Where an address can't be had or a part can't be set up.
     pub async fn start(config: Config) -> Result<Self, Error> {
         let (listener, socket) = bind(config.mesh).await?;
-        let mesh_address = listener.local_addr().map_err(|e| mesh_error(config.mesh, e))?;
+        let mesh_address = listener
+            .local_addr()
+            .map_err(|e| mesh_error(config.mesh, e))?;
         let stop = CancellationToken::new();
         let wiring = wiring::Wiring::new(&config, stop.clone())?;
         let duties = sync::Arc::new(wiring.start(listener, socket, mesh_address));
@@ -113,7 +111,15 @@
         );
         let callers = callers.await?;
         let operators = http::Server::operators(config.operators, backend, gate.clone()).await?;
-        Ok(Self { config, stop, gate, callers, operators, mesh_address, duties })
+        Ok(Self {
+            config,
+            stop: stop.drop_guard(),
+            gate,
+            callers,
+            operators,
+            mesh_address,
+            duties,
+        })
     }
 
     /// Where it listens.
@@ -144,24 +150,20 @@
             self.duties.ledger.drained().await;
             self.duties.home.drained().await;
         };
-        if tokio::time::timeout(self.config.grace, finish).await.is_err() {
+        if tokio::time::timeout(self.config.grace, finish)
+            .await
+            .is_err()
+        {
             log::warn!(target: "vm", "requests were still running after the grace period");
         }
         self.callers.stop().await;
-        self.duties.slo.flush().await;
         self.duties.mesh.close().await;
         self.operators.stop().await;
-        self.stop.cancel();
+        drop(self.stop);
         log::info!(target: "vm", "stopped");
     }
 }
 
-impl Drop for Vm {
-    fn drop(&mut self) {
-        self.stop.cancel();
-    }
-}
-
 /// Binds TCP and UDP on the same port.
 async fn bind(
     address: net::SocketAddr,
@@ -171,7 +173,9 @@
     for _ in 0..tries {
         let listener = tokio::net::TcpListener::bind(address).await;
         let listener = listener.map_err(|error| mesh_error(address, error))?;
-        let taken = listener.local_addr().map_err(|error| mesh_error(address, error))?;
+        let taken = listener
+            .local_addr()
+            .map_err(|error| mesh_error(address, error))?;
         match tokio::net::UdpSocket::bind(taken).await {
             Ok(socket) => return Ok((listener, socket)),
             Err(error) => failed = error,
--- a/crates/geraniumgauge/src/vm/wiring.rs
+++ b/crates/geraniumgauge/src/vm/wiring.rs
@@ -68,8 +68,13 @@
         let dispatch = sync::Arc::new(dispatch::Dispatch::default());
         let mesh = self.mesh(listener, &member, sync::Arc::clone(&dispatch) as _);
         let post: sync::Arc<dyn mesh::Post> = sync::Arc::clone(&mesh) as _;
-        let slo = self.slo();
-        let book = self.quarantine(&member, &post);
+        let slo: sync::Arc<dyn slo::Record> = sync::Arc::new(Unrecorded);
+        let direct = sync::Arc::new(quarantine::Direct {
+            gossip: sync::Arc::new(member.clone()),
+            post: sync::Arc::clone(&post),
+            view: member.view(),
+        });
+        let book = self.quarantine(sync::Arc::clone(&direct));
         let home = self.home(&member, &post);
         let query = self.query(&member, &post, &book, &slo);
         let ledger = self.ledger(&member, &post, &book, &slo);
@@ -80,10 +85,19 @@
             ledger: ledger.clone(),
             document: document.clone(),
             book: book.clone(),
+            direct,
         });
         tokio::spawn(dispatch::marks(member.rumours(), book, self.stop.clone()));
         let metrics = self.metrics.clone();
-        vm::Duties { mesh, member, home, query, ledger, document, slo, metrics }
+        vm::Duties {
+            mesh,
+            member,
+            home,
+            query,
+            ledger,
+            document,
+            metrics,
+        }
     }
 
     fn member(&self, socket: tokio::net::UdpSocket, address: net::SocketAddr) -> member::Service {
@@ -107,30 +121,22 @@
     ) -> sync::Arc<mesh::Mesh> {
         let mut config = mesh::Config::new(self.config.vm.clone(), self.incarnation, listener);
         config.frame_bytes = usize::try_from(self.config.frame.0).unwrap_or(usize::MAX);
-        mesh::Mesh::start(config, member.view(), receive, self.timer.clone(), &self.meter)
-    }
-
-    fn slo(&self) -> slo::Service {
-        slo::Service::start(
-            slo::Config { vm: self.config.vm.clone(), incarnation: self.incarnation },
-            self.catalog.clone(),
-            sync::Arc::clone(&self.store),
-            self.clock,
+        mesh::Mesh::start(
+            config,
+            member.view(),
+            receive,
             self.timer.clone(),
             &self.meter,
         )
     }
 
-    fn quarantine(
-        &self,
-        member: &member::Service,
-        post: &sync::Arc<dyn mesh::Post>,
-    ) -> quarantine::Service {
-        let spread = dispatch::Marks { member: member.clone(), post: sync::Arc::clone(post) };
+    fn quarantine(&self, spread: sync::Arc<quarantine::Direct>) -> quarantine::Service {
         quarantine::Service::start(
-            quarantine::Config { vm: self.config.vm.clone() },
+            quarantine::Config {
+                vm: self.config.vm.clone(),
+            },
             sync::Arc::clone(&self.store),
-            sync::Arc::new(spread),
+            spread,
             self.clock,
             self.timer.clone(),
             &self.meter,
@@ -155,7 +161,7 @@
         member: &member::Service,
         post: &sync::Arc<dyn mesh::Post>,
         book: &quarantine::Service,
-        slo: &slo::Service,
+        slo: &sync::Arc<dyn slo::Record>,
     ) -> query::Service {
         let config = query::Config {
             vm: self.config.vm.clone(),
@@ -168,7 +174,7 @@
             member.view(),
             sync::Arc::clone(post),
             book.clone(),
-            sync::Arc::new(slo.clone()),
+            sync::Arc::clone(slo),
             self.clock,
             self.timer.clone(),
             &self.meter,
@@ -180,7 +186,7 @@
         member: &member::Service,
         post: &sync::Arc<dyn mesh::Post>,
         book: &quarantine::Service,
-        slo: &slo::Service,
+        slo: &sync::Arc<dyn slo::Record>,
     ) -> ledger::Service {
         let config = ledger::Config {
             vm: self.config.vm.clone(),
@@ -194,7 +200,7 @@
             sync::Arc::clone(post),
             sync::Arc::clone(&self.store),
             sync::Arc::new(book.clone()),
-            sync::Arc::new(slo.clone()),
+            sync::Arc::clone(slo),
             self.clock,
             self.timer.clone(),
             &self.meter,
@@ -219,3 +225,10 @@
         document::Service::start(document::Config { vm, data_centre }, parts, &self.meter)
     }
 }
+
+/// Burn counts are not kept yet.
+struct Unrecorded;
+
+impl slo::Record for Unrecorded {
+    fn record(&self, _: &slo::Event) {}
+}
--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -38,18 +38,26 @@
     /// Run the platform.
     Platform { listen: net::SocketAddr },
     /// Run a site's upstreams.
-    Upstream { site: site::Name, platform: String, data_centres: usize, first_port: Option<u16> },
+    Upstream {
+        site: site::Name,
+        platform: String,
+        data_centres: usize,
+        first_port: Option<u16>,
+    },
     /// Run the demo.
     Demo,
     /// Name the scenarios.
     List,
     /// Run scenarios.
-    Measure { names: Vec<String>, context: measure::Context, json: bool },
+    Measure {
+        names: Vec<String>,
+        context: measure::Context,
+        json: bool,
+    },
 }
 
 /// What is wrong with a command line.
-#[derive(Debug)]
-#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
 pub(crate) enum Error {
     /// A flag or its value.
     #[display("{_0}")]
@@ -73,7 +81,9 @@
     let order = match args.subcommand()?.as_deref() {
         Some("platform") => {
             let listen = args.opt_value_from_str("--listen")?;
-            Order::Platform { listen: listen.unwrap_or(([127, 0, 0, 1], 7400).into()) }
+            Order::Platform {
+                listen: listen.unwrap_or(([127, 0, 0, 1], 7400).into()),
+            }
         }
         Some("upstream") => Order::Upstream {
             site: args.value_from_str("--site")?,
@@ -87,7 +97,10 @@
         None => return Err(usage("no command; see the list below".to_owned())),
     };
     match args.finish().first() {
-        Some(rest) => Err(usage(format!("{} isn't known here", rest.to_string_lossy()))),
+        Some(rest) => Err(usage(format!(
+            "{} isn't known here",
+            rest.to_string_lossy()
+        ))),
         None => Ok(order),
     }
 }
@@ -95,20 +108,37 @@
 fn measure(mut args: pico_args::Arguments) -> Result<Order, Error> {
     let json = args.contains("--json");
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
-    let policy = args.opt_value_from_str("--policy")?.unwrap_or(query::Policy::Full);
+    let policy = args
+        .opt_value_from_str("--policy")?
+        .unwrap_or(query::Policy::Full);
     let context = measure::Context { seed, policy };
     let rest = args.finish();
-    let names: Vec<_> = rest.iter().map(|name| name.to_string_lossy().into_owned()).collect();
+    let names: Vec<_> = rest
+        .iter()
+        .map(|name| name.to_string_lossy().into_owned())
+        .collect();
     let flag = names.iter().find(|name| name.starts_with('-'));
     match (names.first().map(String::as_str), flag) {
         (_, Some(flag)) => Err(usage(format!("{flag} isn't known here"))),
-        (None, _) => Err(usage("measure what? name scenarios, or all, or list".to_owned())),
+        (None, _) => Err(usage(
+            "measure what? name scenarios, or all, or list".to_owned(),
+        )),
         (Some("list"), _) => Ok(Order::List),
         (Some("all"), _) => {
-            let names = measure::SCENARIOS.iter().map(|scenario| scenario.name.to_owned());
-            Ok(Order::Measure { names: names.collect(), context, json })
+            let names = measure::SCENARIOS
+                .iter()
+                .map(|scenario| scenario.name.to_owned());
+            Ok(Order::Measure {
+                names: names.collect(),
+                context,
+                json,
+            })
         }
-        _ => Ok(Order::Measure { names, context, json }),
+        _ => Ok(Order::Measure {
+            names,
+            context,
+            json,
+        }),
     }
 }
 
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -12,8 +12,7 @@
 use crate::site;
 
 /// What didn't hold.
-#[derive(Debug)]
-#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// The site can't start.
     #[display("{_0}")]
@@ -45,10 +44,19 @@
 /// # Errors
 /// The first thing that doesn't hold.
 pub async fn run() -> Result<(), Error> {
-    println!("Starting a platform, {} upstreams and 3 VMs on loopback ...", 2 * SHARDS);
-    let site = site::Site::start(site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)])).await?;
+    println!(
+        "Starting a platform, {} upstreams and 3 VMs on loopback ...",
+        2 * SHARDS
+    );
+    let site =
+        site::Site::start(site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)])).await?;
     for node in &site.nodes {
-        println!("  {} in {} is ready on {}", node.vm(), node.data_centre(), node.callers());
+        println!(
+            "  {} in {} is ready on {}",
+            node.vm(),
+            node.data_centre(),
+            node.callers()
+        );
     }
     let caller = load::Caller::new(&site)?;
     search(&site, &caller).await?;
@@ -68,12 +76,19 @@
     }
     let body = answered(&sample)?;
     let coverage = &body["coverage"];
-    println!("   asked {}, request {}", name(sample.vm.as_ref()), body["request_id"]);
+    println!(
+        "   asked {}, request {}",
+        name(sample.vm.as_ref()),
+        body["request_id"]
+    );
     println!(
         "   snapshot: index version {}, layout {}",
         body["snapshot"]["version"], body["snapshot"]["layout"]
     );
-    println!("   coverage: {} of {} shards", coverage["covered"], coverage["shards"]);
+    println!(
+        "   coverage: {} of {} shards",
+        coverage["covered"], coverage["shards"]
+    );
     println!("   best hit: {}", body["hits"][0]);
     if coverage["complete"] != true {
         return wrong(format!("the answer isn't complete: {coverage}"));
@@ -85,13 +100,27 @@
     println!("\n2. A registration, sent twice, the second time to another VM");
     let service = site.service(SERVICE);
     let record = serde_json::json!({ "sheet": 1187, "mix": "NHL 3.5" });
-    let first = caller.register(service.id(), "sheet-1187", &record, DEADLINE, None).await;
+    let first = caller
+        .register(service.id(), "sheet-1187", &record, DEADLINE, None)
+        .await;
     let body = answered(&first)?;
-    println!("   {}: {} {}", name(first.vm.as_ref()), body["outcome"], body["result"]);
+    println!(
+        "   {}: {} {}",
+        name(first.vm.as_ref()),
+        body["outcome"],
+        body["result"]
+    );
     let but = first.vm.as_ref();
-    let second = caller.register(service.id(), "sheet-1187", &record, DEADLINE, but).await;
+    let second = caller
+        .register(service.id(), "sheet-1187", &record, DEADLINE, but)
+        .await;
     let repeat = answered(&second)?;
-    println!("   {}: {} {}", name(second.vm.as_ref()), repeat["outcome"], repeat["result"]);
+    println!(
+        "   {}: {} {}",
+        name(second.vm.as_ref()),
+        repeat["outcome"],
+        repeat["result"]
+    );
     let runs = service.runs().len();
     println!("   upstreams ran it {runs} time(s)");
     if runs != 1 || body["result"] != repeat["result"] {
@@ -106,9 +135,15 @@
     let store = site.store()?;
     let key = format!("documents/{}", service.id());
     let before = store.get(&key).await?;
-    let document = service.spec().clone().with(|d| d.deadline = DEADLINE).document;
+    let document = service
+        .spec()
+        .clone()
+        .with(|d| d.deadline = DEADLINE)
+        .document;
     let text = serde_json::to_string_pretty(&document).unwrap_or_default();
-    store.put(&key, text.into(), store::Condition::Version(before.version)).await?;
+    store
+        .put(&key, text.into(), store::Condition::Version(before.version))
+        .await?;
     println!("   deadline_ms: 1000 -> {}", DEADLINE.as_millis());
     let until = tokio::time::Instant::now() + PATIENCE;
     let mut seen = serde_json::Value::Null;
@@ -116,12 +151,18 @@
         seen = status(&store, service.id()).await.unwrap_or_default();
         let in_force = seen["generation"] == 2 && seen["in_force"] == seen["vms"];
         if in_force && seen["vms"] == site.nodes.len() {
-            println!("   status: generation 2 in force at {} of {} VMs", seen["in_force"], seen["vms"]);
+            println!(
+                "   status: generation 2 in force at {} of {} VMs",
+                seen["in_force"], seen["vms"]
+            );
             return Ok(());
         }
         tokio::time::sleep(time::Duration::from_millis(100)).await;
     }
-    wrong(format!("the edit isn't in force after {} s: {seen}", PATIENCE.as_secs()))
+    wrong(format!(
+        "the edit isn't in force after {} s: {seen}",
+        PATIENCE.as_secs()
+    ))
 }
 
 async fn status(store: &store::Client, service: &ids::Service) -> Option<serde_json::Value> {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -21,7 +21,10 @@
             return USAGE.into();
         }
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
@@ -43,12 +46,20 @@
             }
             Err(error) => fail(&error),
         },
-        args::Order::Upstream { site, platform, data_centres, first_port } => {
+        args::Order::Upstream {
+            site,
+            platform,
+            data_centres,
+            first_port,
+        } => {
             let started = site::serve(site, &platform, data_centres, first_port).await;
             match started {
                 Ok(services) => {
                     let count: usize = services.iter().map(|s| s.upstreams.len()).sum();
-                    println!("{count} upstreams of {} services of {site} listen", services.len());
+                    println!(
+                        "{count} upstreams of {} services of {site} listen",
+                        services.len()
+                    );
                     std::future::pending().await
                 }
                 Err(error) => fail(&error),
@@ -64,7 +75,11 @@
             }
             process::ExitCode::SUCCESS
         }
-        args::Order::Measure { names, context, json } => measured(&names, context, json).await,
+        args::Order::Measure {
+            names,
+            context,
+            json,
+        } => measured(&names, context, json).await,
     }
 }
 
@@ -86,7 +101,11 @@
             println!("{report}");
         }
     }
-    if broken { process::ExitCode::FAILURE } else { process::ExitCode::SUCCESS }
+    if broken {
+        process::ExitCode::FAILURE
+    } else {
+        process::ExitCode::SUCCESS
+    }
 }
 
 fn fail(error: &dyn std::error::Error) -> process::ExitCode {
--- a/crates/standin/src/measure/check.rs
+++ b/crates/standin/src/measure/check.rs
@@ -15,6 +15,8 @@
 pub const TRUE_COVERAGE: &str = "true coverage";
 /// Each caller gets its own whole answer.
 pub const OWN_ANSWER: &str = "own whole answer";
+/// Hits that every search of the measurements asks for.
+pub const LIMIT: u32 = 20;
 /// A request gets an answer or a refusal.
 pub const ANSWERED: &str = "answered at all";
 
@@ -63,19 +65,30 @@
         wrong.violate(TRUE_COVERAGE, &request, format!("{coverage:?}"));
     }
     let version = answer.snapshot.version.0;
-    let mixed = answer.hits.iter().find(|hit| hit.rest.get("version") != Some(&version.into()));
+    let mixed = answer
+        .hits
+        .iter()
+        .find(|hit| hit.rest.get("version") != Some(&version.into()));
     if let Some(hit) = mixed {
         let seen = format!("hit {} at {:?} under version {version}", hit.id, hit.rest);
         wrong.violate(ONE_SNAPSHOT, &request, seen);
     }
-    let covered = service.layout.shards.iter().filter(|shard| !missing.contains(&shard.id));
+    let covered = service
+        .layout
+        .shards
+        .iter()
+        .filter(|shard| !missing.contains(&shard.id));
     let text = query.to_string();
-    let mut due: Vec<_> =
-        covered.flat_map(|shard| corpus::hits(&shard.id, &text, version)).collect();
+    let mut due: Vec<_> = covered
+        .flat_map(|shard| corpus::hits(&shard.id, &text, version))
+        .collect();
     due.sort_by(|a, b| b.score.total_cmp(&a.score).then_with(|| a.id.cmp(&b.id)));
-    due.truncate(answer.hits.len().max(1));
-    let same = due.iter().map(|hit| &hit.id).eq(answer.hits.iter().map(|hit| &hit.id));
-    if !same && !(due.is_empty() && answer.hits.is_empty()) {
+    due.truncate(LIMIT as usize);
+    let same = due
+        .iter()
+        .map(|hit| &hit.id)
+        .eq(answer.hits.iter().map(|hit| &hit.id));
+    if !same {
         let seen = format!("hits {:?} where {due:?} were due", answer.hits);
         wrong.violate(OWN_ANSWER, &request, seen);
     }
--- a/crates/standin/src/measure/fanout.rs
+++ b/crates/standin/src/measure/fanout.rs
@@ -9,7 +9,7 @@
 use crate::site;
 
 /// The scenario.
-pub const SCENARIO: measure::Scenario = measure::Scenario {
+pub(super) const SCENARIO: measure::Scenario = measure::Scenario {
     name: "fanout",
     about: "1 in 100 shard calls runs 30 times as long; each query asks 240 shards",
     baseline: Some(query::Policy::Direct),
--- a/crates/standin/src/measure/load.rs
+++ b/crates/standin/src/measure/load.rs
@@ -7,6 +7,7 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 
+use crate::measure::check;
 use crate::site;
 
 /// Added to the deadline before a caller gives up on an answer.
@@ -53,7 +54,11 @@
 impl Sample {
     /// The request's id as the caller was told, `-` where it was told none.
     pub fn request_id(&self) -> String {
-        let told = self.reply.as_ref().ok().and_then(|reply| reply.body["request_id"].as_str());
+        let told = self
+            .reply
+            .as_ref()
+            .ok()
+            .and_then(|reply| reply.body["request_id"].as_str());
         told.unwrap_or("-").to_owned()
     }
 
@@ -79,7 +84,10 @@
             .pool_max_idle_per_host(512)
             .retry(reqwest::retry::never())
             .build()?;
-        Ok(Self { client, balancer: sync::Arc::clone(&site.balancer) })
+        Ok(Self {
+            client,
+            balancer: sync::Arc::clone(&site.balancer),
+        })
     }
 
     /// Sends a search.
@@ -89,8 +97,9 @@
         query: &serde_json::Value,
         deadline: time::Duration,
     ) -> Sample {
-        let body = serde_json::json!({ "query": query, "limit": 20 });
-        self.send(service, "search", None, &body, deadline, None).await
+        let body = serde_json::json!({ "query": query, "limit": check::LIMIT });
+        self.send(service, "search", None, &body, deadline, None)
+            .await
     }
 
     /// Sends a registration, to another VM than `but`.
@@ -102,7 +111,8 @@
         deadline: time::Duration,
         but: Option<&ids::Vm>,
     ) -> Sample {
-        self.send(service, "records", Some(key), record, deadline, but).await
+        self.send(service, "records", Some(key), record, deadline, but)
+            .await
     }
 
     async fn send(
@@ -117,27 +127,50 @@
         let start = tokio::time::Instant::now();
         let Some((vm, address)) = self.balancer.pick(but) else {
             let reply = Err(Lost::Unsent("no VM is ready".to_owned()));
-            return Sample { vm: None, took: start.elapsed(), deadline, reply };
+            return Sample {
+                vm: None,
+                took: start.elapsed(),
+                deadline,
+                reply,
+            };
         };
         let url = format!("http://{address}/v1/services/{service}/{kind}");
         let millis = deadline.as_millis().to_string();
-        let mut request = self.client.post(url).header("Request-Timeout-Ms", millis).json(body);
+        let mut request = self
+            .client
+            .post(url)
+            .header("Request-Timeout-Ms", millis)
+            .json(body);
         if let Some(key) = key {
             request = request.header("Idempotency-Key", key);
         }
         let reply = receive(request.timeout(deadline + PATIENCE)).await;
-        Sample { vm: Some(vm), took: start.elapsed(), deadline, reply }
+        Sample {
+            vm: Some(vm),
+            took: start.elapsed(),
+            deadline,
+            reply,
+        }
     }
 }
 
 async fn receive(request: reqwest::RequestBuilder) -> Result<Reply, Lost> {
-    let response = request.send().await.map_err(|error| match error.is_connect() {
-        true => Lost::Unsent(format!("{error:?}")),
-        false => Lost::Sent(format!("{error:?}")),
-    })?;
+    let response = request
+        .send()
+        .await
+        .map_err(|error| match error.is_connect() {
+            true => Lost::Unsent(format!("{error:?}")),
+            false => Lost::Sent(format!("{error:?}")),
+        })?;
     let status = response.status().as_u16();
-    let body = response.bytes().await.map_err(|error| Lost::Sent(format!("{error:?}")))?;
-    Ok(Reply { status, body: serde_json::from_slice(&body).unwrap_or_default() })
+    let body = response
+        .bytes()
+        .await
+        .map_err(|error| Lost::Sent(format!("{error:?}")))?;
+    Ok(Reply {
+        status,
+        body: serde_json::from_slice(&body).unwrap_or_default(),
+    })
 }
 
 /// Starts `send` at random times, `rate` a second on average, for `span`,
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -18,8 +18,7 @@
 use crate::site;
 
 /// Why a scenario couldn't be run.
-#[derive(Debug)]
-#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// The site.
     #[display("site: {_0}")]
@@ -63,14 +62,14 @@
 }
 
 /// All scenarios, in the order in which `all` runs them.
-pub const SCENARIOS: &[Scenario] = &[
-    straggler::SCENARIO,
-    fanout::SCENARIO,
-];
+pub const SCENARIOS: &[Scenario] = &[straggler::SCENARIO, fanout::SCENARIO];
 
 /// The scenario of that name.
 pub fn find(name: &str) -> Option<Scenario> {
-    SCENARIOS.iter().find(|scenario| scenario.name == name).copied()
+    SCENARIOS
+        .iter()
+        .find(|scenario| scenario.name == name)
+        .copied()
 }
 
 /// Runs the baseline, where there is one, and then the policy wanted.
--- a/crates/standin/src/measure/outcome.rs
+++ b/crates/standin/src/measure/outcome.rs
@@ -4,8 +4,7 @@
 use std::fmt;
 
 /// A promise that was broken for one request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(serde::Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
 pub struct Violation {
     /// Which promise.
     pub promise: &'static str,
@@ -17,7 +16,11 @@
 
 impl fmt::Display for Violation {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "{}: request {}: {}", self.promise, self.request_id, self.seen)
+        write!(
+            out,
+            "{}: request {}: {}",
+            self.promise, self.request_id, self.seen
+        )
     }
 }
 
@@ -46,13 +49,20 @@
         request: impl Into<String>,
         seen: impl Into<String>,
     ) {
-        let violation = Violation { promise, request_id: request.into(), seen: seen.into() };
+        let violation = Violation {
+            promise,
+            request_id: request.into(),
+            seen: seen.into(),
+        };
         self.violations.push(violation);
     }
 
     /// Takes another outcome's figures, under `prefix`, and its violations.
     pub fn absorb(&mut self, prefix: &str, other: Self) {
-        let named = other.figures.into_iter().map(|(name, value)| (format!("{prefix}{name}"), value));
+        let named = other
+            .figures
+            .into_iter()
+            .map(|(name, value)| (format!("{prefix}{name}"), value));
         self.figures.extend(named);
         self.violations.extend(other.violations);
     }
--- a/crates/standin/src/measure/report.rs
+++ b/crates/standin/src/measure/report.rs
@@ -12,8 +12,7 @@
 const SHOWN: usize = 10;
 
 /// What one run of a scenario and its baseline brought.
-#[derive(Debug, Clone)]
-#[derive(serde::Serialize)]
+#[derive(Debug, Clone, serde::Serialize)]
 pub struct Report {
     /// The scenario.
     pub scenario: String,
@@ -54,19 +53,31 @@
 }
 
 fn ratios(figures: &outcome::Figures, baseline: &outcome::Figures) -> outcome::Figures {
-    let pairs = figures.iter().filter_map(|(name, value)| Some((name, value, baseline.get(name)?)));
+    let pairs = figures
+        .iter()
+        .filter_map(|(name, value)| Some((name, value, baseline.get(name)?)));
     let nonzero = pairs.filter(|(_, _, base)| **base != 0.0);
-    nonzero.map(|(name, value, base)| (name.clone(), value / base)).collect()
+    nonzero
+        .map(|(name, value, base)| (name.clone(), value / base))
+        .collect()
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(out, "{} (seed {}, policy {})", self.scenario, self.seed, self.policy)?;
+        writeln!(
+            out,
+            "{} (seed {}, policy {})",
+            self.scenario, self.seed, self.policy
+        )?;
         let empty = outcome::Figures::new();
         let baseline = self.baseline.as_ref().unwrap_or(&empty);
         let names: collections::BTreeSet<_> = self.figures.keys().chain(baseline.keys()).collect();
         let number = |value: Option<&f64>| value.map_or("-".to_owned(), |v| format!("{v:.3}"));
-        writeln!(out, "  {:<36}{:>14}{:>14}{:>10}", "figure", "here", "baseline", "ratio")?;
+        writeln!(
+            out,
+            "  {:<36}{:>14}{:>14}{:>10}",
+            "figure", "here", "baseline", "ratio"
+        )?;
         for name in names {
             let (here, base) = (number(self.figures.get(name)), number(baseline.get(name)));
             let ratio = number(self.ratios.get(name));
--- a/crates/standin/src/measure/straggler.rs
+++ b/crates/standin/src/measure/straggler.rs
@@ -10,7 +10,7 @@
 use crate::site;
 
 /// The scenario.
-pub const SCENARIO: measure::Scenario = measure::Scenario {
+pub(super) const SCENARIO: measure::Scenario = measure::Scenario {
     name: "straggler",
     about: "1 in 100 shard calls runs 30 times as long; each query asks 20 shards",
     baseline: Some(query::Policy::Direct),
--- a/crates/standin/src/measure/tally.rs
+++ b/crates/standin/src/measure/tally.rs
@@ -55,13 +55,17 @@
         sample: &load::Sample,
     ) {
         self.sent += 1;
-        self.violations.extend(check::search(service, query, sample));
+        self.violations
+            .extend(check::search(service, query, sample));
         let Ok(reply) = &sample.reply else {
             self.lost += 1;
             return;
         };
         if reply.status != 200 {
-            let code = reply.body["error"]["code"].as_str().unwrap_or("none").to_owned();
+            let code = reply.body["error"]["code"]
+                .as_str()
+                .unwrap_or("none")
+                .to_owned();
             *self.refused.entry(code).or_default() += 1;
             return;
         }
@@ -103,7 +107,10 @@
         out.figure("complete_share", share(self.complete, self.answered));
         out.figure("coverage_share", share(self.covered, self.shards));
         out.figure("lost", self.lost as f64);
-        out.figure("extra_load_share", arrived as f64 / self.shards.max(1) as f64 - 1.0);
+        out.figure(
+            "extra_load_share",
+            arrived as f64 / self.shards.max(1) as f64 - 1.0,
+        );
         for (code, count) in &self.refused {
             out.figure(format!("refused_{code}"), *count as f64);
         }
--- a/crates/standin/src/site/balancer.rs
+++ b/crates/standin/src/site/balancer.rs
@@ -30,7 +30,11 @@
 impl Balancer {
     /// Takes a VM in; it gets requests once it says that it is ready.
     pub fn add(&self, vm: &ids::Vm, callers: net::SocketAddr, operators: net::SocketAddr) {
-        let target = Target { callers, operators, ready: false };
+        let target = Target {
+            callers,
+            operators,
+            ready: false,
+        };
         self.write().entry(vm.clone()).or_insert(target);
     }
 
@@ -47,26 +51,42 @@
     /// A ready VM by chance, not `but`.
     pub fn pick(&self, but: Option<&ids::Vm>) -> Option<(ids::Vm, net::SocketAddr)> {
         let targets = self.read();
-        let ready = targets.iter().filter(|(vm, target)| target.ready && Some(*vm) != but);
+        let ready = targets
+            .iter()
+            .filter(|(vm, target)| target.ready && Some(*vm) != but);
         let ready: Vec<_> = ready.map(|(vm, target)| (vm, target.callers)).collect();
-        ready.choose(&mut rand::rng()).map(|(vm, callers)| ((*vm).clone(), *callers))
+        ready
+            .choose(&mut rand::rng())
+            .map(|(vm, callers)| ((*vm).clone(), *callers))
     }
 
     fn read(&self) -> sync::RwLockReadGuard<'_, collections::BTreeMap<ids::Vm, Target>> {
-        self.targets.read().unwrap_or_else(sync::PoisonError::into_inner)
+        self.targets
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     fn write(&self) -> sync::RwLockWriteGuard<'_, collections::BTreeMap<ids::Vm, Target>> {
-        self.targets.write().unwrap_or_else(sync::PoisonError::into_inner)
+        self.targets
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
 /// Asks the VMs round by round until the balancer is gone.
-pub async fn watch(balancer: sync::Weak<Balancer>) {
-    let Ok(client) = reqwest::Client::builder().timeout(PATIENCE).build() else { return };
+pub(super) async fn watch(balancer: sync::Weak<Balancer>) {
+    let Ok(client) = reqwest::Client::builder().timeout(PATIENCE).build() else {
+        return;
+    };
     while let Some(balancer) = balancer.upgrade() {
-        let targets: Vec<_> = balancer.read().iter().map(|(vm, t)| (vm.clone(), *t)).collect();
-        let asked = targets.into_iter().map(|(vm, target)| ask(&client, vm, target));
+        let targets: Vec<_> = balancer
+            .read()
+            .iter()
+            .map(|(vm, t)| (vm.clone(), *t))
+            .collect();
+        let asked = targets
+            .into_iter()
+            .map(|(vm, target)| ask(&client, vm, target));
         for (vm, ready) in futures_util::future::join_all(asked).await {
             if let Some(target) = balancer.write().get_mut(&vm) {
                 target.ready = ready;
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -32,8 +32,7 @@
 const START: time::Duration = time::Duration::from_secs(30);
 
 /// Why a site can't be had.
-#[derive(Debug)]
-#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// A stand-in can't listen.
     #[display("a stand-in can't listen: {_0}")]
@@ -119,7 +118,14 @@
         }
         let balancer = sync::Arc::new(Balancer::default());
         tokio::spawn(balancer::watch(sync::Arc::downgrade(&balancer)));
-        let mut site = Self { platform, services, nodes: Vec::new(), balancer, config, started: 0 };
+        let mut site = Self {
+            platform,
+            services,
+            nodes: Vec::new(),
+            balancer,
+            config,
+            started: 0,
+        };
         for _ in 0..site.config.vms {
             site.add().await?;
         }
@@ -150,7 +156,9 @@
         for node in &self.nodes {
             while !self.balancer.is_ready(node.vm()) {
                 if tokio::time::Instant::now() > until {
-                    return Err(Error::Unready { vm: node.vm().clone() });
+                    return Err(Error::Unready {
+                        vm: node.vm().clone(),
+                    });
                 }
                 tokio::time::sleep(time::Duration::from_millis(20)).await;
             }
@@ -186,7 +194,10 @@
     /// Where the site has none of that name.
     #[expect(clippy::expect_used, reason = "scenarios ask for services they made")]
     pub fn service(&self, id: &str) -> &Service {
-        let found = self.services.iter().find(|service| service.id().as_str() == id);
+        let found = self
+            .services
+            .iter()
+            .find(|service| service.id().as_str() == id);
         found.expect("a service of this site")
     }
 
@@ -196,7 +207,9 @@
     /// Where the client can't be set up.
     pub fn store(&self) -> Result<store::Client, store::Error> {
         let metrics = geraniumgauge::metrics::Metrics::new();
-        let metrics = metrics.map_err(|e| store::Error::Unavailable { reason: e.to_string() })?;
+        let metrics = metrics.map_err(|e| store::Error::Unavailable {
+            reason: e.to_string(),
+        })?;
         let clock = geraniumgauge::time::Clock::start();
         store::Client::new(self.platform.url(), clock, &metrics.meter())
     }
@@ -225,9 +238,12 @@
             data_centre: node.data_centre().clone(),
             leaving: false,
         };
-        self.platform.state().set_vms(self.nodes.iter().map(entry).collect());
+        self.platform
+            .state()
+            .set_vms(self.nodes.iter().map(entry).collect());
         for node in &self.nodes {
-            self.balancer.add(node.vm(), node.callers(), node.operators());
+            self.balancer
+                .add(node.vm(), node.callers(), node.operators());
         }
     }
 }
--- a/crates/standin/src/site/node.rs
+++ b/crates/standin/src/site/node.rs
@@ -40,7 +40,12 @@
         thread::Builder::new().name(vm.to_string()).spawn(run)?;
         let gone = || std::io::Error::other("the VM's thread ended while starting");
         let addresses = started.await.map_err(|_| gone())??;
-        Ok(Self { vm, data_centre, addresses, orders })
+        Ok(Self {
+            vm,
+            data_centre,
+            addresses,
+            orders,
+        })
     }
 
     /// Its name.
@@ -91,7 +96,9 @@
     orders: mpsc::UnboundedReceiver<Order>,
     told: oneshot::Sender<Result<vm::Addresses, vm::Error>>,
 ) {
-    let built = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let built = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let Ok(runtime) = built else { return };
     runtime.block_on(obey(config, orders, told));
     // Dropping the runtime would wait for blocking tasks; a killed VM doesn't.
--- a/crates/standin/src/site/serve.rs
+++ b/crates/standin/src/site/serve.rs
@@ -10,8 +10,7 @@
 use crate::site;
 
 /// Why a site's upstreams can't be served.
-#[derive(Debug)]
-#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// An upstream can't listen.
     #[display("an upstream can't listen: {_0}")]
@@ -62,12 +61,18 @@
         Err(store::Error::Missing { .. }) => None,
         Err(error) => return Err(error),
     };
-    Ok(ids::LayoutVersion(held.map_or(1, |layout| layout.version.0 + 1)))
+    Ok(ids::LayoutVersion(
+        held.map_or(1, |layout| layout.version.0 + 1),
+    ))
 }
 
 async fn put(store: &store::Client, key: &str, body: bytes::Bytes) -> Result<(), store::Error> {
     let layout = key.starts_with("layouts/");
-    let condition = if layout { store::Condition::Any } else { store::Condition::Absent };
+    let condition = if layout {
+        store::Condition::Any
+    } else {
+        store::Condition::Absent
+    };
     match store.put(key, body, condition).await {
         Ok(_) | Err(store::Error::Conflict { .. }) => Ok(()),
         Err(error) => Err(error),
--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -82,12 +82,18 @@
             for replica in 0..spec.replicas {
                 let mut config = spec.upstream(shard, replica, seed);
                 let offset = u16::try_from(upstreams.len()).unwrap_or(u16::MAX);
-                config.address.set_port(first_port.map_or(0, |port| port.saturating_add(offset)));
+                config
+                    .address
+                    .set_port(first_port.map_or(0, |port| port.saturating_add(offset)));
                 upstreams.push(upstream::Server::start(config).await?);
             }
         }
         let layout = spec.layout(&upstreams, data_centres);
-        Ok(Self { spec, upstreams, layout })
+        Ok(Self {
+            spec,
+            upstreams,
+            layout,
+        })
     }
 
     /// Puts the document and the layout into the platform's store.
@@ -104,7 +110,10 @@
         let id = &self.spec.id;
         let document = serde_json::to_vec_pretty(&self.spec.document).unwrap_or_default();
         let layout = serde_json::to_vec(&self.layout).unwrap_or_default();
-        [(layout::key(id), layout.into()), (format!("documents/{id}"), document.into())]
+        [
+            (layout::key(id), layout.into()),
+            (format!("documents/{id}"), document.into()),
+        ]
     }
 
     /// Its name.
@@ -132,7 +141,11 @@
     /// Counts over all upstreams; peaks are the highest of any.
     pub fn counts(&self) -> upstream::Counts {
         let mut sum = upstream::Counts::default();
-        for counts in self.upstreams.iter().map(|upstream| upstream.state().counts()) {
+        for counts in self
+            .upstreams
+            .iter()
+            .map(|upstream| upstream.state().counts())
+        {
             sum.add(&counts);
         }
         sum
@@ -140,7 +153,10 @@
 
     /// Records run by any upstream.
     pub fn runs(&self) -> Vec<upstream::Run> {
-        self.upstreams.iter().flat_map(|upstream| upstream.state().runs()).collect()
+        self.upstreams
+            .iter()
+            .flat_map(|upstream| upstream.state().runs())
+            .collect()
     }
 
     /// Searches a second that all slots together can run, where each touches
@@ -182,25 +198,33 @@
         let replicas = |shard: usize| {
             let first = shard * self.replicas;
             let held = &upstreams[first..first + self.replicas];
-            held.iter().map(|server| server.state().config().id.clone()).collect()
+            held.iter()
+                .map(|server| server.state().config().id.clone())
+                .collect()
         };
         layout::Layout {
             version: ids::LayoutVersion(1),
             upstreams: upstreams.iter().enumerate().map(entry).collect(),
             shards: (0..self.shards)
-                .map(|shard| layout::Shard { id: shard_id(shard), replicas: replicas(shard) })
+                .map(|shard| layout::Shard {
+                    id: shard_id(shard),
+                    replicas: replicas(shard),
+                })
                 .collect(),
         }
     }
 }
 
 /// The id of a service's `number`th shard.
-pub fn shard_id(number: usize) -> ids::Shard {
+pub(super) fn shard_id(number: usize) -> ids::Shard {
     named(format!("shard-{number}"))
 }
 
 /// An identifier from a text known to be one.
-#[expect(clippy::expect_used, reason = "the texts are made of letters, digits and dashes")]
-pub fn named<T: std::str::FromStr<Err = ids::Error>>(text: String) -> T {
+#[expect(
+    clippy::expect_used,
+    reason = "the texts are made of letters, digits and dashes"
+)]
+pub(super) fn named<T: std::str::FromStr<Err = ids::Error>>(text: String) -> T {
     text.parse().expect("a valid identifier")
 }
--- a/crates/standin/src/site/sites.rs
+++ b/crates/standin/src/site/sites.rs
@@ -8,8 +8,15 @@
 use crate::site;
 
 /// One of the users' sites.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(derive_more::Display, derive_more::FromStr)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    derive_more::Display,
+    derive_more::FromStr
+)]
 #[display(rename_all = "lowercase")]
 #[from_str(rename_all = "lowercase")]
 pub enum Name {
@@ -53,5 +60,11 @@
 
 fn large(id: &str, replicas: usize, slots: u32, connections: u32) -> site::Spec {
     let spec = site::Spec::small(id, LARGE_SHARDS);
-    site::Spec { replicas, slots, connections, connect_ms: 1, ..spec }
+    site::Spec {
+        replicas,
+        slots,
+        connections,
+        connect_ms: 1,
+        ..spec
+    }
 }
--- a/crates/standin/src/upstream/state.rs
+++ b/crates/standin/src/upstream/state.rs
@@ -11,7 +11,15 @@
 use crate::upstream;
 
 /// Counts since the start, over all lives.
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 pub struct Counts {
     /// Searches that began to run.
     pub started: u64,
