--- a/crates/geraniumgauge/src/quarantine/tests/fleet.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/fleet.rs
@@ -575,8 +575,8 @@
 /// all entries at once and again whenever it isn't answered, while others
 /// search and, with `rack`, a third of one data centre's upstreams fail.
 fn crash(seed: u64, rack: bool) -> World {
-    let shards = if seed % 16 == 0 { 240 } else { 8 };
-    let replicas = if seed % 2 == 0 { 2 } else { 4 };
+    let shards = if seed.is_multiple_of(16) { 240 } else { 8 };
+    let replicas = if seed.is_multiple_of(2) { 2 } else { 4 };
     let mut world = World::new(seed, shards, replicas, 4);
     world.resends = 24;
     for innocent in 0..60 {
@@ -596,7 +596,7 @@
         );
     }
     if rack {
-        let third = (0..shards).filter(|shard| shard % 3 == 0);
+        let third = (0..shards).filter(|shard| shard.is_multiple_of(3));
         world.racked = third.map(|shard| format!("u-{shard}-0")).collect();
         let at = world.rng.random_range(begin..begin + 600_000);
         world.after(at, Ev::Rack);
--- a/crates/geraniumgauge/src/query/gather/tests/properties.rs
+++ b/crates/geraniumgauge/src/query/gather/tests/properties.rs
@@ -26,13 +26,13 @@
 fn run(seed: u64) -> (world::World, gather::Counts) {
     let (shards, replicas) = size(seed);
     let mut world = world::World::new(seed, shards, replicas, EVERYTHING);
-    if seed % 3 == 0 {
+    if seed.is_multiple_of(3) {
         world.repartition(shards + 2, replicas);
     }
     let mut setup = world.setup(1 << 20);
-    setup.canary = seed % 2 == 0;
+    setup.canary = seed.is_multiple_of(2);
     setup.limit = 1000;
-    if seed % 5 == 0 {
+    if seed.is_multiple_of(5) {
         let at = world.now + time::Duration::from_millis(60);
         let covered = shards.div_ceil(2);
         setup.soft = Some(gather::Soft { at, covered });
