Hedge the last few shards of a search rather than all slow calls

In a moment in which everything is slow all calls passed the hedge point, emptied the budget (up to 300 refused hedges a search) and left the real stragglers waiting. Change: the hedge point counts only from a few shards left on, the last ones (half of the budget's share) are hedged soon, and a call three hedge points old in any case.

--- a/crates/geraniumgauge/src/quarantine/tests/fleet.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/fleet.rs
@@ -227,6 +227,7 @@
             canary: !lately,
             hedge_after: time::Duration::from_millis(20),
             typical: time::Duration::from_millis(5),
+            hedge_last: 0,
             policy: query::Policy::Full,
             base: (number as u64) << 20,
             seed: number as u64,
--- a/crates/geraniumgauge/src/query/admit.rs
+++ b/crates/geraniumgauge/src/query/admit.rs
@@ -82,6 +82,7 @@
             hedge_after: hedge_after
                 .unwrap_or(time_left / UNMEASURED_HEDGE)
                 .max(LEAST_HEDGE),
+            hedge_last: hedge_last(&document.budgets, asked.len()),
             typical,
             policy: self.config.policy,
             base: route::Route::base(number),
@@ -205,6 +206,12 @@
     }
 }
 
+/// Half of what the budget earns with `asked` shards: the other half is left
+/// for calls that reach their hedge point before.
+fn hedge_last(budgets: &document::Budgets, asked: usize) -> usize {
+    (budgets.hedge.get() * asked as f64 / 2.0) as usize
+}
+
 /// The numbers of the shards asked, each once.
 fn asked(plan: &plan::Plan, named: Option<&[ids::Shard]>) -> Result<Vec<u32>, query::Refusal> {
     let Some(named) = named else {
--- a/crates/geraniumgauge/src/query/fleet.rs
+++ b/crates/geraniumgauge/src/query/fleet.rs
@@ -14,7 +14,7 @@
 use crate::time as clock;
 
 /// Tokens that the hedge budget holds at most.
-pub const HEDGE_CAP: f64 = 16.0;
+pub const HEDGE_CAP: f64 = 32.0;
 /// Tokens that the retry budget holds at most: one home lost under a wide
 /// fan-out takes some tens of calls at once.
 pub const RETRY_CAP: f64 = 64.0;
--- a/crates/geraniumgauge/src/query/gather/calls.rs
+++ b/crates/geraniumgauge/src/query/gather/calls.rs
@@ -8,6 +8,7 @@
 use super::Action;
 use super::Due;
 use super::Gather;
+use super::Phase;
 use super::attempt;
 use super::homes;
 use super::slot;
@@ -211,6 +212,11 @@
         if self.setup.policy != query::Policy::Full {
             return;
         }
+        if !self.hedge_ripe(attempt, now) {
+            let long = self.attempts[attempt as usize].sent + self.setup.hedge_after * LONG;
+            self.due.push(cmp::Reverse((long, Due::Hedge(attempt))));
+            return;
+        }
         let Some(place) = self.hedge_place(slot, replica, now) else {
             return;
         };
@@ -224,6 +230,47 @@
         self.send(slot, place, message::Kind::Hedge, Some(&not), now);
     }
 
+    /// Few enough shards are left that those are the stragglers of this search.
+    ///
+    /// While many are left, everything is slow: hedges would double the load
+    /// of that moment and leave the budget empty for the real stragglers. So
+    /// the hedge point counts only from a few shards left on, and the very last
+    /// ones are hedged soon: the quantile over the last seconds knows nothing
+    /// of this search. A short wait lets those end that are about to.
+    pub(super) fn hedge_last(&mut self, now: clock::Moment) {
+        let left = self.slots.len() - self.covered;
+        let last = left == self.setup.hedge_last;
+        let few = left == self.few();
+        if !(last || few) || left == 0 || self.phase != Phase::Wide {
+            return;
+        }
+        for slot in &self.slots {
+            if let (slot::State::Running, [attempt]) = (&slot.state, slot.open()) {
+                let sent = self.attempts[*attempt as usize].sent;
+                let point = sent + self.setup.hedge_after;
+                let soon = now + self.setup.typical / SOON;
+                let due = if last {
+                    soon
+                } else {
+                    point.max(now + self.setup.typical)
+                };
+                self.due.push(cmp::Reverse((due, Due::Hedge(*attempt))));
+            }
+        }
+    }
+
+    /// Shards left from which on the hedge point counts.
+    fn few(&self) -> usize {
+        (self.setup.hedge_last * FEW).max(LEAST_FEW)
+    }
+
+    /// Whether the call's time has come for a hedge of its own.
+    fn hedge_ripe(&self, attempt: u32, now: clock::Moment) -> bool {
+        let left = self.slots.len() - self.covered;
+        let waited = now.since(self.attempts[attempt as usize].sent);
+        left <= self.few() || waited >= self.setup.hedge_after * LONG
+    }
+
     /// Another replica than those that run the call now, else the same one,
     /// which the other home calls on another connection.
     fn hedge_place(&mut self, slot: u32, replica: u32, now: clock::Moment) -> Option<usize> {
@@ -280,6 +327,16 @@
 
 /// Least time between two tries to hedge a call.
 const LEAST_HEDGE: time::Duration = time::Duration::from_millis(2);
+/// Shards left from which on the hedge point counts, as this many times those
+/// that are hedged soon.
+const FEW: usize = 2;
+/// The last shards are hedged after one part in this of a typical call.
+const SOON: u32 = 4;
+/// The same for narrow searches.
+const LEAST_FEW: usize = 2;
+/// Hedge points after which a call is hedged however many are left: a home that
+/// went silent holds more calls than a few.
+const LONG: u32 = 3;
 /// Replicas of one shard that are told apart; more are not called.
 const MOST_REPLICAS: usize = 64;
 
--- a/crates/geraniumgauge/src/query/gather/event.rs
+++ b/crates/geraniumgauge/src/query/gather/event.rs
@@ -32,6 +32,9 @@
     pub canary: bool,
     /// When a call is hedged.
     pub hedge_after: time::Duration,
+    /// Shards that are hedged as soon as no more than these are missing,
+    /// whatever the time: of a wide search they are the stragglers.
+    pub hedge_last: usize,
     /// How long a call usually takes.
     pub typical: time::Duration,
     /// How calls are placed and repeated.
--- a/crates/geraniumgauge/src/query/gather/fail.rs
+++ b/crates/geraniumgauge/src/query/gather/fail.rs
@@ -111,6 +111,7 @@
         if !slot.covered() {
             slot.state = slot::State::Covered(found);
             self.covered += 1;
+            self.hedge_last(now);
         }
         if kind == message::Kind::Trial {
             self.trial_completed(upstream, now);
--- a/crates/geraniumgauge/src/query/gather/tests/world.rs
+++ b/crates/geraniumgauge/src/query/gather/tests/world.rs
@@ -165,6 +165,7 @@
             canary: false,
             hedge_after: time::Duration::from_millis(20),
             typical: time::Duration::from_millis(5),
+            hedge_last: 0,
             policy: query::Policy::Full,
             base,
             seed: base ^ 99,
