Stand-in upstreams name the call in refusals; rocket logs from warnings on

Cause: homes take a refusal of a record as not run only where it names the call (a crossed reply proves nothing), and the stand-in left the id out; rocket wrote a dozen lines a start and a line a request. Change: the stand-in echoes Request-Id in every reply; levels for rocket and hyper. Measured: nothing; found by reading. Conclusion: shed records are retried again.

--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -49,13 +49,14 @@
 /// Where the file can't be opened or logging is set up already.
 pub(crate) fn init(settings: &settings::Settings) -> Result<(), Error> {
     let vm = settings.vm.to_string();
-    let dispatch =
-        fern::Dispatch::new()
-            .level(settings.log.level)
-            .format(move |out, message, record| {
-                let line = format(&vm, time::SystemTime::now(), &message.to_string(), record);
-                out.finish(format_args!("{line}"));
-            });
+    let dispatch = fern::Dispatch::new()
+        .level(settings.log.level)
+        .level_for("rocket", settings.log.level.min(log::LevelFilter::Warn))
+        .level_for("hyper", settings.log.level.min(log::LevelFilter::Warn))
+        .format(move |out, message, record| {
+            let line = format(&vm, time::SystemTime::now(), &message.to_string(), record);
+            out.finish(format_args!("{line}"));
+        });
     let dispatch = match &settings.log.file {
         None => dispatch.chain(io::stderr()),
         Some(file) => dispatch.chain(fern::log_file(file).map_err(|reason| Error::File {
--- a/crates/standin/src/upstream/routes.rs
+++ b/crates/standin/src/upstream/routes.rs
@@ -260,13 +260,17 @@
 
     async fn answer(&self, connection: &Connection, request: serve::Request) -> serve::Reply {
         let control = request.uri().path().starts_with("/control/");
+        let id: Option<String> = serve::header(&request, contract::REQUEST_ID);
         if !control && self.state.is_silent(connection.opened) {
             return serve::Reply::Silence;
         }
-        let reply = tokio::select! {
+        let mut reply = tokio::select! {
             reply = self.dispatch(request) => reply,
             () = self.life.cancelled() => serve::Reply::Close,
         };
+        if let (serve::Reply::Answer(response), Some(id)) = (&mut reply, id) {
+            echo(response, id);
+        }
         if !control && self.state.is_silent(connection.opened) {
             return serve::Reply::Silence;
         }
@@ -359,6 +363,13 @@
     serve::Reply::Answer(serve::json(status, &serde_json::json!({ "error": error })))
 }
 
+/// Names the call in every reply, refusals too; a crossed reply keeps its own.
+fn echo(response: &mut serve::Response, id: String) {
+    if !response.headers().contains_key(contract::REQUEST_ID) {
+        serve::set(response, contract::REQUEST_ID, id);
+    }
+}
+
 fn not_found(path: &str) -> serve::Reply {
     serve::Reply::Answer(serve::text(404, format!("no such path: {path}")))
 }
