--- a/crates/geraniumgauge/src/home/state/running.rs
+++ b/crates/geraniumgauge/src/home/state/running.rs
@@ -194,7 +194,7 @@
                 }
                 Some(message::Outcome::Hits)
             }
-            upstream::Outcome::Shed if busy.beside && busy.given_up.is_none() => {
+            upstream::Outcome::Shed if busy.beside && busy.may_wait_again() => {
                 // Our own doing: it was sent beyond the limit.
                 self.beside.shed(now);
                 self.queue.insert(busy.job.clone());
@@ -231,7 +231,7 @@
             self.standing.unreachable(now);
             self.probe.hasten(now);
         }
-        if busy.fresh || busy.job.is_record() || busy.given_up.is_some() {
+        if busy.fresh || !busy.may_wait_again() {
             return Some(message::Outcome::Unreachable);
         }
         self.queue.insert(busy.job.clone());
@@ -240,6 +240,12 @@
 }
 
 impl lines::Busy {
+    /// Whether a call that was not run may be sent again from here. A record
+    /// is sent by a home once, whatever is known of its fate.
+    fn may_wait_again(&self) -> bool {
+        self.given_up.is_none() && !self.job.is_record()
+    }
+
     /// The answer to this call as of `now`.
     pub(super) fn answer(
         &self,
--- a/crates/geraniumgauge/src/home/state/standing.rs
+++ b/crates/geraniumgauge/src/home/state/standing.rs
@@ -92,7 +92,7 @@
     /// A call that was sent at `sent` succeeded.
     pub(super) fn succeeded(&mut self, sent: Moment, now: Moment) {
         self.success_sent = self.success_sent.max(Some(sent));
-        let stale = matches!(self.stand, Stand::Draining | Stand::Down) && sent < self.since;
+        let stale = matches!(self.stand, Stand::Draining | Stand::Down) && sent <= self.since;
         if stale {
             return;
         }
