Homes against a stand-in upstream over real connections

Checked: 200 calls over 2 slots: none shed, two running at most, seven connections at most; silent connections; cancellation at the upstream.

--- /dev/null
+++ b/crates/standin/tests/home.rs
@@ -0,0 +1,195 @@
+//! A VM's homes against a stand-in upstream over real connections.
+
+use std::sync;
+use std::time;
+
+use geraniumgauge::document;
+use geraniumgauge::home;
+use geraniumgauge::ids;
+use geraniumgauge::layout;
+use geraniumgauge::member;
+use geraniumgauge::mesh;
+use geraniumgauge::mesh::message;
+use geraniumgauge::metrics;
+use geraniumgauge::timer;
+use geraniumgauge_standin::upstream;
+
+const WAIT: time::Duration = time::Duration::from_secs(20);
+
+/// Collects frames in place of a mesh.
+struct Post(tokio::sync::mpsc::UnboundedSender<message::Body>);
+
+impl mesh::Post for Post {
+    fn send(&self, _: &ids::Vm, body: message::Body) -> Result<(), mesh::Error> {
+        self.0.send(body).unwrap();
+        Ok(())
+    }
+}
+
+struct Bench {
+    server: upstream::Server,
+    homes: home::Service,
+    frames: tokio::sync::mpsc::UnboundedReceiver<message::Body>,
+    replies: std::collections::HashMap<u64, message::Outcome>,
+    vm: ids::Vm,
+    _view: tokio::sync::watch::Sender<member::Shared>,
+    _stop: tokio_util::sync::DropGuard,
+}
+
+async fn bench(slots: u32) -> Bench {
+    let config = upstream::Config {
+        id: "up-1".parse().unwrap(),
+        address: "127.0.0.1:0".parse().unwrap(),
+        shards: vec!["s-1".parse().unwrap()],
+        slots,
+        queue: 0,
+        connections: 25,
+        connect_ms: 1,
+        work_ms: 5.0,
+        seed: 1,
+    };
+    let server = upstream::Server::start(config).await.unwrap();
+    let vm: ids::Vm = "vm-1".parse().unwrap();
+    let data_centre: ids::DataCentre = "dc-1".parse().unwrap();
+    let layout = layout::Layout {
+        version: ids::LayoutVersion(1),
+        upstreams: vec![layout::Upstream {
+            id: "up-1".parse().unwrap(),
+            address: server.address(),
+            data_centre: data_centre.clone(),
+            slots,
+            connections: 25,
+            connect_ms: 1,
+        }],
+        shards: vec![layout::Shard {
+            id: "s-1".parse().unwrap(),
+            replicas: vec!["up-1".parse().unwrap()],
+        }],
+    };
+    let catalog = document::Catalog::default();
+    let service = "desk".parse().unwrap();
+    catalog.put_layout(&service, layout);
+    catalog.put_document(&service, ids::Generation(1), document::Document::default());
+    let member = member::Member {
+        vm: vm.clone(),
+        incarnation: ids::Incarnation(1),
+        data_centre: data_centre.clone(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        state: member::State::Alive,
+    };
+    let view = sync::Arc::new(member::View::new(vm.clone(), vec![member]));
+    let (view_sender, view) = tokio::sync::watch::channel(view);
+    let stop = tokio_util::sync::CancellationToken::new();
+    let (sender, frames) = tokio::sync::mpsc::unbounded_channel();
+    let homes = home::Service::start(
+        home::Config {
+            vm: vm.clone(),
+            data_centre,
+        },
+        catalog,
+        view,
+        sync::Arc::new(Post(sender)),
+        geraniumgauge::time::Clock::start(),
+        timer::Service::new(stop.clone()),
+        &metrics::Metrics::new().unwrap().meter(),
+    );
+    Bench {
+        server,
+        homes,
+        frames,
+        replies: std::collections::HashMap::new(),
+        vm,
+        _view: view_sender,
+        _stop: stop.drop_guard(),
+    }
+}
+
+impl Bench {
+    fn call(&self, attempts: std::ops::Range<u64>, kind: message::Kind) {
+        let calls = attempts.map(|attempt| message::Call {
+            attempt,
+            upstream: "up-1".to_owned(),
+            shard: "s-1".to_owned(),
+            kind: kind.into(),
+        });
+        let batch = message::Batch {
+            request: "r".to_owned(),
+            service: "desk".to_owned(),
+            body: br#"{"query": "lime", "limit": 3}"#.as_slice().into(),
+            time_left_us: 10_000_000,
+            index_version: Some(2),
+            layout: 1,
+            calls: calls.collect(),
+            ..message::Batch::default()
+        };
+        self.homes.batch(&self.vm, batch);
+    }
+
+    /// Waits for this many replies in all, each to a call of its own.
+    async fn replies(&mut self, count: usize) {
+        while self.replies.len() < count {
+            let frame = tokio::time::timeout(WAIT, self.frames.recv()).await;
+            let Some(message::Body::Replies(frame)) = frame.expect("a reply is missing") else {
+                continue;
+            };
+            for reply in frame.replies {
+                let doubled = self.replies.insert(reply.attempt, reply.outcome());
+                assert_eq!(doubled, None, "two replies to {}", reply.attempt);
+            }
+        }
+    }
+
+    fn count(&self, outcome: message::Outcome) -> usize {
+        let outcomes = self.replies.values();
+        outcomes.filter(|known| **known == outcome).count()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_fill_the_slots_and_overrun_neither_slots_nor_connections() {
+    let mut bench = bench(2).await;
+    bench.call(0..200, message::Kind::First);
+    bench.replies(200).await;
+    assert_eq!(bench.count(message::Outcome::Hits), 200);
+    let counts = bench.server.state().counts();
+    assert_eq!((counts.shed, counts.running_peak), (0, 2));
+    assert!(counts.connections_peak <= 7, "{counts:?}");
+}
+
+/// Story: every open connection goes silent at once, while new ones work. Calls
+/// under way are lost to it; those after them must be answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_answered_after_the_connections_went_silent() {
+    let mut bench = bench(2).await;
+    bench.call(0..50, message::Kind::First);
+    bench.replies(50).await;
+    let state = bench.server.state();
+    state.set_faults(|faults| faults.silence_open = true);
+    bench.call(50..60, message::Kind::First);
+    bench.replies(60).await;
+    let hits = bench.count(message::Outcome::Hits);
+    assert!(hits >= 58, "{:?}", bench.replies);
+    assert_eq!(bench.count(message::Outcome::Silent), 60 - hits);
+}
+
+/// Story: a caller's query is answered from elsewhere and its calls here are
+/// cancelled. They must not go on holding slots at the upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_calls_are_stopped_at_the_upstream() {
+    let mut bench = bench(2).await;
+    let state = bench.server.state();
+    state.set_faults(|faults| faults.delay_ms = 60_000);
+    bench.call(0..4, message::Kind::First);
+    while bench.server.state().running() < 2 {
+        tokio::task::yield_now().await;
+    }
+    let attempts = (0..4).collect();
+    bench.homes.cancel(&bench.vm, message::Cancel { attempts });
+    bench.replies(4).await;
+    assert_eq!(bench.count(message::Outcome::Cancelled), 4);
+    while bench.server.state().running() > 0 {
+        tokio::task::yield_now().await;
+    }
+    bench.homes.leave();
+    bench.homes.drained().await;
+}
