The stand-in's refusals name the call they answer

Cause: a record's refusal that names no call is no proof that it was not run, so homes take it as unknown. Change: every reply to a search or record echoes Request-Id.

--- a/crates/standin/src/upstream/routes.rs
+++ b/crates/standin/src/upstream/routes.rs
@@ -82,12 +82,25 @@
         }
     }
 
+    /// Every reply names the call that it answers, refusals too: one that
+    /// names none is no proof that a record was not run.
     async fn admit(
         &self,
         request: serve::Request,
         shard: ids::Shard,
         record: bool,
     ) -> serve::Reply {
+        let id: Option<String> = serve::header(&request, contract::REQUEST_ID);
+        let mut reply = self.take(request, shard, record).await;
+        if let (serve::Reply::Answer(response), Some(id)) = (&mut reply, id)
+            && !response.headers().contains_key(contract::REQUEST_ID)
+        {
+            serve::set(response, contract::REQUEST_ID, id);
+        }
+        reply
+    }
+
+    async fn take(&self, request: serve::Request, shard: ids::Shard, record: bool) -> serve::Reply {
         let faults = self.state.faults();
         if faults.draining {
             self.state.count(|counts| {
--- a/crates/standin/tests/home.rs
+++ b/crates/standin/tests/home.rs
@@ -1,4 +1,9 @@
 //! A VM's homes against a stand-in upstream over real connections.
+#![expect(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "the linter's leave for tests doesn't cover helpers of integration tests"
+)]
 
 use std::sync;
 use std::time;
@@ -36,6 +41,24 @@
     _stop: tokio_util::sync::DropGuard,
 }
 
+fn layout(address: std::net::SocketAddr, slots: u32) -> layout::Layout {
+    layout::Layout {
+        version: ids::LayoutVersion(1),
+        upstreams: vec![layout::Upstream {
+            id: "up-1".parse().unwrap(),
+            address,
+            data_centre: "dc-1".parse().unwrap(),
+            slots,
+            connections: 25,
+            connect_ms: 1,
+        }],
+        shards: vec![layout::Shard {
+            id: "s-1".parse().unwrap(),
+            replicas: vec!["up-1".parse().unwrap()],
+        }],
+    }
+}
+
 async fn bench(slots: u32) -> Bench {
     let config = upstream::Config {
         id: "up-1".parse().unwrap(),
@@ -51,21 +74,7 @@
     let server = upstream::Server::start(config).await.unwrap();
     let vm: ids::Vm = "vm-1".parse().unwrap();
     let data_centre: ids::DataCentre = "dc-1".parse().unwrap();
-    let layout = layout::Layout {
-        version: ids::LayoutVersion(1),
-        upstreams: vec![layout::Upstream {
-            id: "up-1".parse().unwrap(),
-            address: server.address(),
-            data_centre: data_centre.clone(),
-            slots,
-            connections: 25,
-            connect_ms: 1,
-        }],
-        shards: vec![layout::Shard {
-            id: "s-1".parse().unwrap(),
-            replicas: vec!["up-1".parse().unwrap()],
-        }],
-    };
+    let layout = layout(server.address(), slots);
     let catalog = document::Catalog::default();
     let service = "desk".parse().unwrap();
     catalog.put_layout(&service, layout);
