Homes refuse the same searches under overload

Cause: at twice the capacity each home refused the latest calls of its own queue; a search over 8 shards was hardly ever served by all 8. Change: where calls don't fit, the ones of lowest rank go; the rank is drawn from the request, so it is the same at every home. A call that must wait needs the slow time of its upstream, not the median.

--- a/crates/geraniumgauge/src/home/state/dispatch.rs
+++ b/crates/geraniumgauge/src/home/state/dispatch.rs
@@ -80,7 +80,7 @@
     /// entry still has the time to go elsewhere.
     pub(super) fn settle_waiting(&mut self, now: Moment) {
         if let Some(outcome) = self.refusal(now) {
-            for job in self.queue.refuse(|_, _| true) {
+            for job in self.queue.drain() {
                 self.refuse(job, outcome, now);
             }
             return;
@@ -91,10 +91,14 @@
         let room = self.free_calls(now);
         let calls = self.calls(now).max(1);
         let (mean, median) = (self.times.mean(), self.times.median());
+        let slow = self.times.slow().unwrap_or_default();
         let start = self.limit.paused_until().max(now);
         let unfit = |position: usize, deadline: Moment| {
-            let start = start + wait(position, room, calls, mean);
-            start + median > deadline || deadline <= now
+            let waits = wait(position, room, calls, mean);
+            // A call that must wait for others gives way unless it is sure to
+            // be in time; one that can run now may try.
+            let runs = if waits.is_zero() { median } else { slow };
+            start + waits + runs > deadline || deadline <= now
         };
         for job in self.queue.refuse(unfit) {
             self.refuse(job, message::Outcome::Late, now);
--- a/crates/geraniumgauge/src/home/state/job.rs
+++ b/crates/geraniumgauge/src/home/state/job.rs
@@ -66,14 +66,36 @@
 
     /// Its name at the upstream.
     pub fn upstream_id(&self) -> String {
-        let request = match &self.work {
+        upstream::call_id(self.request(), &self.id.entry, self.id.attempt)
+    }
+
+    fn request(&self) -> &str {
+        match &self.work {
             Work::Search { batch, .. } => &batch.request,
             Work::Record { record, .. } => &record.request,
-        };
-        upstream::call_id(request, &self.id.entry, self.id.attempt)
+        }
+    }
+
+    /// Which calls stay where not all can be served: the higher. The same for
+    /// all calls of a request, wherever they wait. A hedge goes first: another
+    /// call of its shard is under way.
+    pub fn rank(&self) -> Rank {
+        Rank {
+            needed: self.kind != message::Kind::Hedge,
+            draw: xxhash_rust::xxh3::xxh3_64(self.request().as_bytes()),
+        }
     }
 }
 
+/// Rank of a request among those that compete for an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// No other call does the same.
+    needed: bool,
+    /// As good as random, but equal wherever it is drawn.
+    draw: u64,
+}
+
 /// What became of a call, for the VM that asked.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
--- a/crates/geraniumgauge/src/home/state/queue.rs
+++ b/crates/geraniumgauge/src/home/state/queue.rs
@@ -1,5 +1,6 @@
 //! Calls that wait for a slot, the most urgent first.
 
+use std::cmp;
 use std::collections;
 
 use super::job;
@@ -58,15 +59,31 @@
         self.jobs.keys().next().map(|(deadline, _)| *deadline)
     }
 
-    /// Takes out the calls that `unfit` names by their position and deadline.
+    /// Takes out every call.
+    pub(super) fn drain(&mut self) -> Vec<job::Job> {
+        self.places.clear();
+        self.trials.clear();
+        std::mem::take(&mut self.jobs).into_values().collect()
+    }
+
+    /// Takes out as few calls as it takes for all others to fit, where `unfit`
+    /// tells by position and deadline whether a call comes too late.
+    ///
+    /// Any call ahead of one that comes too late could make room for it. The
+    /// one of lowest rank goes, and a query has the same rank at every home.
+    /// If each home dropped its latest call instead, each would drop others: at
+    /// twice the capacity, nearly every query over 8 shards would lose one.
     pub(super) fn refuse(&mut self, unfit: impl Fn(usize, Moment) -> bool) -> Vec<job::Job> {
-        let mut position = 0;
+        let late = |(position, job): (usize, &job::Job)| unfit(position, job.deadline);
+        if !self.jobs.values().enumerate().any(late) {
+            return Vec::new();
+        }
+        let mut kept = collections::BinaryHeap::new();
         let mut refused = Vec::new();
         for job in self.jobs.values() {
-            if unfit(position, job.deadline) {
-                refused.push(job.id.clone());
-            } else {
-                position += 1;
+            kept.push(cmp::Reverse((job.rank(), &job.id)));
+            if unfit(kept.len() - 1, job.deadline) {
+                refused.extend(kept.pop().map(|cmp::Reverse((_, id))| id.clone()));
             }
         }
         refused.iter().filter_map(|id| self.remove(id)).collect()
--- a/crates/geraniumgauge/src/home/tests/fake.rs
+++ b/crates/geraniumgauge/src/home/tests/fake.rs
@@ -223,3 +223,17 @@
         self.closed.clear();
     }
 }
+
+impl Job {
+    /// The same call for another request.
+    pub(super) fn of_request(mut self, request: &str) -> Self {
+        self.work = Work::Search {
+            batch: std::sync::Arc::new(message::Batch {
+                request: request.to_owned(),
+                ..message::Batch::default()
+            }),
+            shard: "s-1".parse().unwrap(),
+        };
+        self
+    }
+}
--- a/crates/geraniumgauge/src/home/tests/state.rs
+++ b/crates/geraniumgauge/src/home/tests/state.rs
@@ -467,3 +467,49 @@
     }
     assert_eq!(bench.flying.len(), 4);
 }
+
+/// Story: twice as many searches over 8 shards come in as 8 upstreams can
+/// serve. If each home refuses searches of its own choice, hardly one is
+/// served everywhere, and nearly all the work is for nothing.
+#[test]
+fn homes_refuse_the_same_searches() {
+    fn property(seed: u64) -> bool {
+        let mut random = rand::rngs::StdRng::seed_from_u64(seed);
+        let mut homes: Vec<_> = (0..8).map(|_| Bench::new(2, 25, PRIMARY)).collect();
+        homes.iter_mut().for_each(|home| home.learn(20, millis(20)));
+        let mut ends = vec![collections::BTreeMap::new(); homes.len()];
+        let queries = 800_u64;
+        for step in 0..queries * 5 {
+            for (home, ends) in homes.iter_mut().zip(&mut ends) {
+                if step % 5 == 0 {
+                    let job = home.job(Kind::First, millis(300));
+                    home.put(job.of_request(&format!("q-{step}")));
+                }
+                let flying: Vec<_> = home.flying.keys().copied().collect();
+                for link in flying {
+                    let end = home.now + millis(random.random_range(10..30));
+                    if *ends.entry(link).or_insert(end) <= home.now {
+                        ends.remove(&link);
+                        home.finish(link, Ended::Done);
+                    }
+                }
+                home.live(millis(1));
+            }
+        }
+        let whole = (21..=20 + queries).filter(|attempt| {
+            let hits = |home: &Bench| {
+                home.answers
+                    .iter()
+                    .any(|(id, outcome)| id.attempt == *attempt && *outcome == Outcome::Hits)
+            };
+            homes.iter().all(hits)
+        });
+        // 2 slots of 20 ms serve 100 of the 200 searches a second.
+        let whole = whole.count();
+        assert!(whole >= 320, "{whole} of 400 that could be served");
+        true
+    }
+    quickcheck::QuickCheck::new()
+        .tests(5)
+        .quickcheck(property as fn(u64) -> bool);
+}
