--- a/crates/geraniumgauge/src/home/state/standing.rs
+++ b/crates/geraniumgauge/src/home/state/standing.rs
@@ -66,6 +66,11 @@
         self.stand
     }
 
+    /// Whether a call sent at `since` or later has succeeded.
+    pub(super) fn worked_since(&self, since: Moment) -> bool {
+        self.success_sent.is_some_and(|sent| sent >= since)
+    }
+
     pub(super) fn is_down(&self) -> bool {
         self.stand == Stand::Down
     }
--- a/crates/geraniumgauge/src/home/state/times.rs
+++ b/crates/geraniumgauge/src/home/state/times.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Forgets what was seen, but for a mean that the next samples soon move.
+    pub(super) fn forget(&mut self) {
+        let all = self.recent.iter_mut().chain(&mut self.older);
+        all.for_each(|times| times.reset());
+        self.seen = self.seen.min(ENOUGH);
+        self.slow = None;
+    }
+
     fn refresh(&mut self) {
         let (Some(recent), Some(older)) = (&self.recent, &self.older) else {
             return;
--- a/crates/geraniumgauge/src/home/state/upkeep.rs
+++ b/crates/geraniumgauge/src/home/state/upkeep.rs
@@ -8,7 +8,6 @@
 use super::Why;
 use super::lines;
 use super::running;
-use super::standing;
 use crate::home::placement;
 use crate::time::Moment;
 use crate::upstream;
@@ -27,6 +26,10 @@
 /// Reports in a row that stay out until an upstream counts as down.
 const PROBES_MISSED: u32 = 2;
 
+/// An upstream with a success within this many microseconds is at work,
+/// whatever it says of its start.
+const BUSY_US: u64 = 1_000_000;
+
 /// When reports are asked for over the control connection.
 #[derive(Debug)]
 pub(super) struct Probe {
@@ -96,18 +99,29 @@
 
     fn take_report(&mut self, health: Option<upstream::Health>, now: Moment) {
         if self.standing.reached(now) {
-            self.limit.cold();
+            self.warm_up();
         }
         let Some(health) = health else {
             return;
         };
         let starting = health.status == upstream::Status::Starting;
-        if starting && self.standing.stand() == standing::Stand::Doubtful {
-            self.limit.cold();
+        if starting
+            && !self
+                .standing
+                .worked_since(Moment(now.0.saturating_sub(BUSY_US)))
+        {
+            self.warm_up();
         }
         self.standing.hint(health.status, health.age(), now);
     }
 
+    /// A started upstream is slow at first: it gets one call at a time, then
+    /// more with each that succeeds, and its earlier times count no more.
+    fn warm_up(&mut self) {
+        self.limit.cold();
+        self.times.forget();
+    }
+
     /// Whether connections are kept without calls.
     fn stays_warm(&self, now: Moment) -> bool {
         let home = matches!(
