--- a/crates/geraniumgauge/src/mesh/message.rs
+++ b/crates/geraniumgauge/src/mesh/message.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// What it carries; a frame of a newer kind decodes as none and is skipped.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -55,6 +55,9 @@
     /// close from a process that died, which looks the same to a socket.
     #[prost(message, tag = "13")]
     Bye(Bye),
+    /// To every VM: a request that may crash upstreams.
+    #[prost(message, tag = "14")]
+    Mark(Mark),
 }
 
 /// Who opens a link.
@@ -126,7 +129,17 @@
 }
 
 /// Why a call is made.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    prost::Enumeration
+)]
 pub enum Kind {
     /// The first for its shard and pin.
     First = 0,
@@ -190,7 +203,17 @@
 }
 
 /// What became of a call at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    prost::Enumeration
+)]
 pub enum Outcome {
     /// Unset or of a newer kind: treated as [`Outcome::Lost`].
     Unknown = 0,
@@ -344,20 +367,52 @@
     pub retry_after_ms: u64,
 }
 
-/// Asks a peer for what it holds of some services.
+/// Asks a peer for what it holds of some services, or compares what both hold.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Pull {
-    /// The services; all where empty.
+    /// The services wanted; where empty, `digest` is compared.
     #[prost(string, repeated, tag = "1")]
     pub services: Vec<String>,
+    /// Digest of what the sender applies; 0 where it doesn't say.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// What the sender applies, as its report to the keeper; else empty.
+    #[prost(message, repeated, tag = "3")]
+    pub have: Vec<Have>,
+}
+
+/// Which generation and layout of a service a VM applies.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Have {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Generation of the document; 0 where there is none.
+    #[prost(uint64, tag = "2")]
+    pub generation: u64,
+    /// Version of the layout; 0 where there is none.
+    #[prost(uint64, tag = "3")]
+    pub layout: u64,
 }
 
 /// What a peer holds of some services.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Pulled {
-    /// One for each service.
+    /// One for each service that was wanted.
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<Entry>,
+    /// Digest of what the sender applies; 0 where nothing was compared.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// What the sender applies, where the digests differ.
+    #[prost(message, repeated, tag = "3")]
+    pub have: Vec<Have>,
+    /// The sender, as keeper, wants a full report.
+    #[prost(bool, tag = "4")]
+    pub tell: bool,
+    /// The sender is ready: what it applies counts for VMs that join.
+    #[prost(bool, tag = "5")]
+    pub settled: bool,
 }
 
 /// An accepted document and a layout.
@@ -375,4 +430,31 @@
     /// The layout, as JSON; empty where there is none.
     #[prost(bytes = "bytes", tag = "4")]
     pub layout: Bytes,
+    /// Version of the store's object that held the document; 0 where not known.
+    #[prost(uint64, tag = "5")]
+    pub document_object: u64,
+    /// Version of the layout; 0 where there is none.
+    #[prost(uint64, tag = "6")]
+    pub layout_version: u64,
+    /// Version of the store's object that held the layout; 0 where not known.
+    #[prost(uint64, tag = "7")]
+    pub layout_object: u64,
+}
+
+/// A request that may crash upstreams, told directly; the same as its rumour.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Mark {
+    /// As [`crate::member::Rumour::key`].
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// As [`crate::member::Rumour::version`].
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// As [`crate::member::Rumour::body`].
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: Bytes,
+    /// The receiver passes it on to this many members from itself on, by the
+    /// view's order; 0 where it keeps it.
+    #[prost(uint32, tag = "4")]
+    pub relay: u32,
 }
