--- /dev/null
+++ b/crates/geraniumgauge/src/query/gather/tests/failures.rs
@@ -0,0 +1,339 @@
+//! Single failures, one after another.
+
+use std::time;
+
+use super::world;
+use crate::ids;
+use crate::mesh::message;
+use crate::quarantine;
+use crate::query;
+use crate::query::fleet;
+use crate::query::gather;
+
+fn all(world: &world::World) -> Vec<u32> {
+    (0..world.plan.shards.len() as u32).collect()
+}
+
+fn search(world: &world::World, setup: gather::Setup) -> gather::Gather {
+    gather::Gather::new(setup, world.plan.clone(), all(world), world.fleet.clone())
+}
+
+fn sends(actions: &[gather::Action]) -> Vec<(ids::Vm, Vec<message::Call>)> {
+    let send = |action: &gather::Action| match action {
+        gather::Action::Send { vm, calls, .. } => Some((vm.clone(), calls.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn answer(actions: Vec<gather::Action>) -> Option<query::Answer> {
+    actions.into_iter().find_map(|action| match action {
+        gather::Action::Finish(answer) => Some(*answer),
+        _ => None,
+    })
+}
+
+fn failed(call: &message::Call, outcome: message::Outcome) -> message::Reply {
+    message::Reply {
+        attempt: call.attempt,
+        upstream: call.upstream.clone(),
+        shard: call.shard.clone(),
+        outcome: outcome.into(),
+        ..message::Reply::default()
+    }
+}
+
+/// Learns the versions of all upstreams, so that no lead is needed.
+fn known(world: &world::World) {
+    for replica in &world.plan.replicas {
+        let reply = message::Reply {
+            oldest: 1,
+            newest: 5,
+            ..message::Reply::default()
+        };
+        replica.stats.learn(&reply, world.now);
+    }
+}
+
+/// A caller sees shards missing although other replicas hold them. The first
+/// call of a shard is refused, and nothing asks its sibling.
+#[test]
+fn a_refused_call_is_tried_at_the_sibling() {
+    let mut world = world::World::new(
+        1,
+        6,
+        2,
+        world::Faults {
+            bad: 20,
+            ..world::NONE
+        },
+    );
+    known(&world);
+    let setup = world.setup(1 << 20);
+    let counts = world.run(setup);
+    assert!(counts.retries > 0);
+    assert!(world.answers[0].coverage.complete);
+}
+
+/// One in a hundred shard calls takes thirty times as long. Without hedges
+/// nearly every wide answer waits for one of them.
+#[test]
+fn a_straggler_is_hedged_and_the_loser_cancelled() {
+    let mut world = world::World::new(
+        3,
+        100,
+        2,
+        world::Faults {
+            slow: 2,
+            ..world::NONE
+        },
+    );
+    known(&world);
+    let setup = world.setup(1 << 20);
+    let started = world.now;
+    let counts = world.run(setup.clone());
+    assert!(counts.hedges > 0);
+    assert!(world.answers[0].coverage.complete);
+    assert_eq!(world.cancelled.len() as u64, counts.cancels);
+    assert!(counts.cancels > 0 && started < setup.deadline);
+}
+
+/// A search is pinned to a version that one shard doesn't offer any more. The
+/// caller would see that shard missing although a version just as new covers all.
+#[test]
+fn a_version_gone_everywhere_starts_the_search_again() {
+    let mut world = world::World::new(4, 5, 2, world::NONE);
+    known(&world);
+    for place in 0..2 {
+        world.ranges.insert(format!("u-3-{place}"), (1, 4));
+    }
+    let setup = world.setup(1 << 20);
+    let counts = world.run(setup);
+    assert_eq!(counts.restarts, 1);
+    assert_eq!(world.answers[0].snapshot.version, ids::IndexVersion(4));
+    assert!(world.answers[0].coverage.complete);
+}
+
+/// Every upstream refuses the old layout after a repartition. The search that
+/// runs would end without hits; it starts again at the new layout instead.
+#[test]
+fn a_repartition_restarts_a_search_that_it_leaves_without_shards() {
+    let mut world = world::World::new(5, 4, 2, world::NONE);
+    known(&world);
+    world.repartition(6, 2);
+    for range in world.ranges.values_mut() {
+        *range = (9, 9);
+    }
+    let setup = world.setup(1 << 20);
+    let counts = world.run(setup);
+    assert!(counts.restarts >= 1);
+    assert_eq!(world.answers[0].coverage.shards, 6);
+    assert!(world.answers[0].coverage.complete);
+}
+
+/// All replicas of a shard are unreachable and nothing else is awaited. A
+/// caller would wait until the deadline for an answer that is already final.
+#[test]
+fn the_answer_comes_at_once_when_nothing_more_can_come() {
+    let world = world::World::new(6, 1, 1, world::NONE);
+    let mut setup = world.setup(1 << 20);
+    setup.deadline = world.now + time::Duration::from_millis(60);
+    let mut search = search(&world, setup);
+    let mut now = world.now;
+    let mut actions = search.handle(gather::Event::Start(quarantine::Verdict::Clear), now);
+    for _ in 0..20 {
+        let Some((vm, calls)) = sends(&actions).pop() else {
+            if let Some(answer) = answer(actions) {
+                assert!(now < world.now + time::Duration::from_millis(60));
+                assert_eq!(
+                    answer.coverage.missing[0].reason,
+                    query::Reason::Unreachable
+                );
+                return;
+            }
+            now = search.wake();
+            actions = search.handle(gather::Event::Tick, now);
+            continue;
+        };
+        let replies = vec![failed(&calls[0], message::Outcome::Unreachable)];
+        actions = search.handle(gather::Event::Replies { from: vm, replies }, now);
+    }
+    panic!("no answer");
+}
+
+/// The retry budget is empty, as in an overload. Each refused call would be
+/// sent again and raise the load that refused it.
+#[test]
+fn an_empty_budget_ends_in_a_truthful_answer() {
+    let mut world = world::World::new(
+        7,
+        8,
+        2,
+        world::Faults {
+            bad: 100,
+            ..world::NONE
+        },
+    );
+    known(&world);
+    while world.fleet.retry() {}
+    let setup = world.setup(1 << 20);
+    let counts = world.run(setup);
+    assert_eq!(counts.retries, 0);
+    assert!(counts.retries_refused > 0);
+    assert!(!world.answers[0].coverage.complete);
+}
+
+/// A wide search that was never run before goes to one upstream first: were it
+/// to crash them, every shard would lose a replica at once.
+#[test]
+fn a_canary_runs_ahead_and_meets_the_others_at_one_replica() {
+    let world = world::World::new(8, 20, 2, world::NONE);
+    known(&world);
+    let targets: Vec<_> = (0..4)
+        .map(|entry| {
+            let mut setup = world.setup(entry << 20);
+            setup.canary = true;
+            let mut search = search(&world, setup);
+            let start = gather::Event::Start(quarantine::Verdict::Clear);
+            let sent = sends(&search.handle(start, world.now));
+            assert_eq!(sent.len(), 1);
+            assert_eq!(sent[0].1.len(), 1);
+            sent[0].1[0].upstream.clone()
+        })
+        .collect();
+    assert!(targets.iter().all(|target| *target == targets[0]));
+}
+
+/// A canary's connection is lost and the search is now suspect. Its next call
+/// would be the second crash; it waits for a trial, and without one it says so.
+#[test]
+fn a_lost_canary_stops_the_search_until_a_trial() {
+    let world = world::World::new(9, 20, 2, world::NONE);
+    known(&world);
+    let mut setup = world.setup(1 << 20);
+    setup.canary = true;
+    let mut search = search(&world, setup);
+    let start = gather::Event::Start(quarantine::Verdict::Clear);
+    let (vm, calls) = sends(&search.handle(start, world.now)).remove(0);
+    let replies = vec![failed(&calls[0], message::Outcome::Lost)];
+    let actions = search.handle(gather::Event::Replies { from: vm, replies }, world.now);
+    assert!(matches!(actions.as_slice(), [gather::Action::Lost { .. }]));
+    let suspect = gather::Event::Verdict(quarantine::Verdict::Suspect);
+    let actions = search.handle(suspect, world.now);
+    assert!(matches!(actions.as_slice(), [gather::Action::AskTrial]));
+    let answer = answer(search.handle(gather::Event::Denied(None), world.now)).unwrap();
+    assert_eq!(answer.coverage.missing.len(), 20);
+    let reasons = answer.coverage.missing.iter().map(|missing| missing.reason);
+    assert!(
+        reasons
+            .into_iter()
+            .all(|reason| reason == query::Reason::Quarantined)
+    );
+}
+
+/// A lone trial completes. The rest of the search follows, and no shard whose
+/// sibling is down was put at risk.
+#[test]
+fn a_completed_trial_lets_the_search_go_on() {
+    let world = world::World::new(10, 6, 2, world::NONE);
+    known(&world);
+    let mut search = search(&world, world.setup(1 << 20));
+    let now = world.now;
+    let start = gather::Event::Start(quarantine::Verdict::Suspect);
+    assert!(matches!(
+        search.handle(start, now).as_slice(),
+        [gather::Action::AskTrial]
+    ));
+    let down = vec!["u-0-0".parse().unwrap()];
+    let (vm, calls) = sends(&search.handle(gather::Event::Granted(down), now)).remove(0);
+    assert_eq!(calls.len(), 1);
+    assert_eq!(calls[0].kind(), message::Kind::Trial);
+    assert!(!calls[0].upstream.starts_with("u-0-"));
+    let reply = message::Reply {
+        outcome: message::Outcome::Hits.into(),
+        index_version: 5,
+        layout: 1,
+        body: bytes::Bytes::from_static(b"{\"hits\":[]}"),
+        ..failed(&calls[0], message::Outcome::Hits)
+    };
+    let replies = vec![reply];
+    let actions = search.handle(gather::Event::Replies { from: vm, replies }, now);
+    let rest: usize = sends(&actions).iter().map(|(_, calls)| calls.len()).sum();
+    assert_eq!(rest, 5);
+}
+
+/// A home has handed its upstreams over. Its refusals would use the retry
+/// budget up although nothing is wrong with any upstream.
+#[test]
+fn a_moved_home_costs_no_budget_but_only_once() {
+    let world = world::World::new(11, 4, 1, world::NONE);
+    known(&world);
+    while world.fleet.retry() {}
+    let mut search = search(&world, world.setup(1 << 20));
+    let start = gather::Event::Start(quarantine::Verdict::Clear);
+    let mut actions = search.handle(start, world.now);
+    for moved in [true, false] {
+        let sent = sends(&actions);
+        assert!(!sent.is_empty());
+        let mut next = Vec::new();
+        for (from, calls) in sent {
+            let reply = |call| failed(call, message::Outcome::NotHome);
+            let replies = calls.iter().map(reply).collect();
+            next.extend(search.handle(gather::Event::Replies { from, replies }, world.now));
+        }
+        if moved {
+            assert!(matches!(next.as_slice(), [gather::Action::Replan]));
+            let plan = gather::Event::Plan(Some(world.plan.clone()));
+            next = search.handle(plan, world.now);
+        }
+        actions = next;
+    }
+    assert_eq!(search.counts().moved, 4);
+    assert_eq!(search.counts().retries, 0);
+    let mut now = world.now;
+    while answer(std::mem::take(&mut actions)).is_none() {
+        now = search.wake();
+        actions = search.handle(gather::Event::Tick, now);
+    }
+    assert!(now < world.now + time::Duration::from_millis(500));
+    assert!(search.counts().retries_refused > 0);
+}
+
+/// Under the latency objective the truck waits at the quay for the last shard.
+/// The answer goes out at its target and names the shard as cut off.
+#[test]
+fn the_latency_objective_cuts_the_last_shards_off() {
+    let mut world = world::World::new(
+        12,
+        10,
+        1,
+        world::Faults {
+            lost: 30,
+            ..world::NONE
+        },
+    );
+    known(&world);
+    let mut setup = world.setup(1 << 20);
+    let at = world.now + time::Duration::from_millis(30);
+    setup.policy = query::Policy::NoHedge;
+    setup.soft = Some(gather::Soft { at, covered: 5 });
+    world.run(setup);
+    let coverage = &world.answers[0].coverage;
+    assert!(!coverage.missing.is_empty());
+    assert!(
+        coverage
+            .missing
+            .iter()
+            .all(|missing| missing.reason == query::Reason::CutOff)
+    );
+}
+
+#[test]
+fn budgets_start_full_and_no_fuller() {
+    let world = world::World::new(13, 1, 1, world::NONE);
+    let mut paid = 0.0;
+    while world.fleet.hedge() {
+        paid += 1.0;
+    }
+    assert!(paid <= fleet::HEDGE_CAP);
+}
