ledger: bound the bytes of one update; follow the trials of quarantine

256 results of 16 KB in one update exceed the store's megabyte: it would be refused for ever and no outcome of the bucket be recorded any more.

--- a/crates/geraniumgauge/src/ledger/change.rs
+++ b/crates/geraniumgauge/src/ledger/change.rs
@@ -7,6 +7,9 @@
 use crate::ledger::key;
 use crate::time;
 
+/// About what an entry without its result takes, in bytes.
+const ENTRY: usize = 512;
+
 /// Names one change that was submitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct Ticket(pub(super) u64);
@@ -28,6 +31,19 @@
     Bury(Vec<String>, head::Page),
 }
 
+impl Change {
+    /// About what it adds to a head, in bytes.
+    pub(super) fn size(&self) -> usize {
+        match self {
+            Self::Claim(_, entry) | Self::Settle(_, entry) => {
+                let result = entry.result.as_ref();
+                ENTRY + result.map_or(0, |result| result.get().len())
+            }
+            _ => 0,
+        }
+    }
+}
+
 /// What came of a change.
 #[derive(Debug, Clone)]
 pub(super) enum Verdict {
--- a/crates/geraniumgauge/src/ledger/claim.rs
+++ b/crates/geraniumgauge/src/ledger/claim.rs
@@ -49,12 +49,7 @@
         let within = left * CLAIM_PART / 100;
         match bucket.claim(&job.key, &job.entry, within).await {
             change::Verdict::Granted => self.granted(job).await,
-            verdict => {
-                if let Some(trial) = job.trial {
-                    trial.finish(quarantine::trial::End::NotRun, &job.entry.upstream);
-                }
-                self.not_granted(&job.key, verdict).await
-            }
+            verdict => self.not_granted(&job.key, verdict).await,
         }
     }
 
@@ -190,10 +185,13 @@
 
     /// Sends the record under its claim, records the outcome, then tells.
     async fn send(&self, mut job: Job, tell: tokio::sync::oneshot::Sender<entry::Told>) {
+        if let Some(trial) = &mut job.trial {
+            trial.begin();
+        }
         let (sending, end) = self.attempts(&job).await;
         let upstream = sending.upstream().clone();
         if let Some(trial) = job.trial.take() {
-            trial.finish(sending.trial_end(&end), &upstream);
+            trial.finish(sending.trial_end(&end), Some(&upstream));
         }
         let moved = job.entry.upstream != upstream;
         let entry = head::Entry {
--- a/crates/geraniumgauge/src/ledger/commit.rs
+++ b/crates/geraniumgauge/src/ledger/commit.rs
@@ -15,6 +15,9 @@
 
 /// Most changes in one update.
 const GROUP: usize = 256;
+/// Bytes of results that one update adds, about; with [`head::FULL`] it keeps
+/// a head below the largest object that the store takes.
+const GROUP_BYTES: usize = 192 * 1024;
 /// Most changes that wait; beyond it claims are refused at once.
 const QUEUE: usize = 4096;
 /// Failures of the store in a row after which claims are refused. One is borne:
@@ -172,7 +175,12 @@
         let mut verdicts = Vec::new();
         let mut changed = self.doubt == Some(base);
         let mut taken = 0;
+        let mut bytes = 0;
         for pending in self.queue.iter().take(GROUP) {
+            if bytes > GROUP_BYTES {
+                break;
+            }
+            bytes += pending.change.size();
             let applied = change::apply(&mut head, &pending.change, fresh, size, &self.indexes);
             match applied {
                 change::Applied::Changed(verdict) => {
--- a/crates/geraniumgauge/src/quarantine/mod.rs
+++ b/crates/geraniumgauge/src/quarantine/mod.rs
@@ -23,10 +23,8 @@
 pub use mark::Mark;
 pub use mark::State;
 pub use service::Config;
-pub use service::Denied;
 pub use service::Service;
 pub use service::Spread;
-pub use service::Trial;
 
 /// What holds for a request before it runs.
 #[derive(
