--- a/crates/geraniumgauge/src/ledger/tests/world.rs
+++ b/crates/geraniumgauge/src/ledger/tests/world.rs
@@ -25,6 +25,9 @@
 use crate::time as clock;
 use crate::timer;
 
+/// The time of day at the start, so that a seed repeats exactly.
+const WALL: clock::Wall = clock::Wall(1_764_719_093_000);
+
 /// One record that an upstream ran.
 #[derive(Debug, Clone)]
 pub(super) struct Run {
@@ -121,7 +124,7 @@
             faults: atomic::AtomicU64::new(0),
             calm: atomic::AtomicBool::new(false),
             catalog,
-            clock: clock::Clock::start(),
+            clock: clock::Clock::start_at(WALL),
             incarnations: atomic::AtomicU64::new(1),
         });
         for number in 0..3 {
--- a/crates/geraniumgauge/src/time.rs
+++ b/crates/geraniumgauge/src/time.rs
@@ -91,7 +91,12 @@
     /// A clock that starts now. Call within a tokio runtime.
     pub fn start() -> Self {
         let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-        let wall = Wall::default() + since_epoch.unwrap_or_default();
+        Self::start_at(Wall::default() + since_epoch.unwrap_or_default())
+    }
+
+    /// A clock that starts now and takes `wall` for the time of day: for runs
+    /// that must repeat exactly, and for clocks that are wrong.
+    pub fn start_at(wall: Wall) -> Self {
         Self {
             start: tokio::time::Instant::now(),
             wall,
