--- a/crates/geraniumgauge/src/ledger/bucket.rs
+++ b/crates/geraniumgauge/src/ledger/bucket.rs
@@ -14,6 +14,7 @@
 use crate::ledger::key;
 use crate::ledger::meter;
 use crate::ledger::pages;
+use crate::rendezvous;
 use crate::store;
 use crate::time as clock;
 use crate::timer;
@@ -32,6 +33,7 @@
 /// What a bucket's task works with.
 #[derive(Clone)]
 pub(super) struct Parts {
+    pub(super) vm: ids::Vm,
     pub(super) service: ids::Service,
     pub(super) slot: u64,
     pub(super) store: sync::Arc<dyn store::Api>,
@@ -109,6 +111,7 @@
         let (_, verdict) = self.submit(change::Change::Look(key.clone()));
         let late = || change::Verdict::Failed("the store took too long".to_owned());
         tokio::select! {
+            biased;
             verdict = verdict => verdict.unwrap_or_else(|_| late()),
             _ = self.timer.pause(within) => late(),
         }
@@ -144,6 +147,8 @@
     drained: Vec<oneshot::Sender<()>>,
     garbage: Vec<head::Page>,
     backoff: store::Backoff,
+    /// Failures so far.
+    tries: u64,
     /// Claims are refused at once until then.
     closed: clock::Moment,
     /// The next update is made no earlier.
@@ -166,6 +171,7 @@
             drained: Vec::new(),
             garbage: Vec::new(),
             backoff: store::Backoff::new(BACKOFF.0, BACKOFF.1),
+            tries: 0,
             closed: clock::Moment::default(),
             paced: clock::Moment::default(),
             tidy: clock::Moment::default(),
@@ -206,6 +212,7 @@
         loop {
             let left = self.parts.clock.now().until(self.closed);
             tokio::select! {
+                biased;
                 going = self.parts.timer.pause(left) => return going,
                 Some(ask) = self.asks.recv() => self.take(ask),
             }
@@ -305,7 +312,8 @@
     fn note(&mut self, error: Option<&store::Error>) {
         match error {
             Some(store::Error::Unavailable { .. } | store::Error::Refused { .. }) => {
-                let wait = self.backoff.failed(rand::random());
+                let jitter = self.jitter();
+                let wait = self.backoff.failed(jitter);
                 self.closed = self.parts.clock.now() + wait;
             }
             Some(store::Error::Unsure { .. }) | None => self.backoff.succeeded(),
@@ -313,6 +321,13 @@
         }
     }
 
+    /// From 0 to 1, different for each VM, bucket and failure.
+    fn jitter(&mut self) -> f64 {
+        self.tries += 1;
+        let duty = format!("{}/{}", self.key, self.tries);
+        rendezvous::weight(&duty, &self.parts.vm) as f64 / u64::MAX as f64
+    }
+
     /// Moves older claims out of the head and forgets those past the window.
     async fn tidy_up(&mut self) {
         let Some((head, size)) = self.commit.head() else {
--- a/crates/geraniumgauge/src/ledger/claim.rs
+++ b/crates/geraniumgauge/src/ledger/claim.rs
@@ -225,6 +225,7 @@
         };
         let recorded = bucket.settle(&job.key, entry);
         tokio::select! {
+            biased;
             _ = recorded => {}
             _ = self.inner.timer.pause(RECORD) => {}
         }
--- a/crates/geraniumgauge/src/ledger/entry.rs
+++ b/crates/geraniumgauge/src/ledger/entry.rs
@@ -129,6 +129,7 @@
     ) -> Told {
         let patience = left * TAKE_OVER / 100;
         tokio::select! {
+            biased;
             answer = slot.answer() => {
                 let told = answer.map(told);
                 match told {
--- a/crates/geraniumgauge/src/ledger/service.rs
+++ b/crates/geraniumgauge/src/ledger/service.rs
@@ -267,6 +267,7 @@
         let bucket = buckets.entry((service.clone(), slot));
         let start = || {
             bucket::Bucket::start(bucket::Parts {
+                vm: self.inner.config.vm.clone(),
                 service: service.clone(),
                 slot,
                 store: self.inner.store.clone(),
