--- /dev/null
+++ b/crates/geraniumgauge/src/member/tests/net.rs
@@ -0,0 +1,223 @@
+//! A few members joined by a queue that loses, delays and doubles datagrams by seed.
+
+use std::collections;
+use std::net as addresses;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+
+use super::*;
+
+/// One step of time.
+const STEP: spans::Duration = spans::Duration::from_millis(100);
+
+/// Datagrams that the socket of a paused process keeps.
+const SOCKET: usize = 100;
+
+/// What the network does to datagrams.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Faults {
+    pub(super) loss: f64,
+    pub(super) double: f64,
+    /// Longest delay, in steps.
+    pub(super) delay: u64,
+    /// Pairs (from, to) that can't reach each other.
+    pub(super) cut: collections::HashSet<(usize, usize)>,
+}
+
+pub(super) struct Node {
+    pub(super) state: State,
+    pub(super) up: bool,
+    pub(super) paused: bool,
+    pub(super) heard: Vec<member::Rumour>,
+    pub(super) announced: bool,
+    pub(super) twin: bool,
+    socket: Vec<(addresses::SocketAddr, wire::Datagram)>,
+}
+
+pub(super) struct Net {
+    pub(super) nodes: Vec<Node>,
+    pub(super) now: time::Moment,
+    pub(super) faults: Faults,
+    flight: collections::BTreeMap<(time::Moment, u64), (usize, usize, wire::Datagram)>,
+    sent: u64,
+    rng: rand::rngs::StdRng,
+}
+
+pub(super) fn address(node: usize) -> addresses::SocketAddr {
+    addresses::SocketAddr::from(([127, 0, 0, 1], 1000 + node as u16))
+}
+
+pub(super) fn vm(node: usize) -> ids::Vm {
+    format!("vm-{node}").parse().unwrap()
+}
+
+pub(super) fn record(node: usize, incarnation: u64) -> record::Record {
+    record::Record {
+        vm: vm(node),
+        incarnation: ids::Incarnation(incarnation),
+        refutation: 0,
+        data_centre: format!("dc-{}", node % 3).parse().unwrap(),
+        address: address(node),
+        leaving: false,
+        health: record::Health::Alive,
+    }
+}
+
+impl Net {
+    /// `count` members that know the address of the first.
+    pub(super) fn new(count: usize, seed: u64) -> Self {
+        let mut net = Self {
+            nodes: Vec::new(),
+            now: time::Moment::default(),
+            faults: Faults::default(),
+            flight: collections::BTreeMap::new(),
+            sent: 0,
+            rng: rand::rngs::StdRng::seed_from_u64(seed),
+        };
+        for node in 0..count {
+            let state = net.fresh(node, 1);
+            net.nodes.push(Node {
+                state,
+                up: true,
+                paused: false,
+                heard: Vec::new(),
+                announced: false,
+                twin: false,
+                socket: Vec::new(),
+            });
+        }
+        net
+    }
+
+    /// As [`Self::new`], with views that agree.
+    pub(super) fn settled(count: usize, seed: u64) -> Self {
+        let mut net = Self::new(count, seed);
+        assert!(net.converges(60), "the members didn't find each other");
+        net
+    }
+
+    fn fresh(&mut self, node: usize, incarnation: u64) -> State {
+        let settings = settings::Settings::default();
+        let seed = self.rng.random();
+        State::new(
+            record(node, incarnation),
+            vec![address(0), address(1)],
+            settings,
+            seed,
+            self.now,
+        )
+    }
+
+    /// The process ends and another one starts at its address and name.
+    pub(super) fn restart(&mut self, node: usize, incarnation: u64) {
+        self.nodes[node].state = self.fresh(node, incarnation);
+        self.nodes[node].up = true;
+        self.nodes[node].socket.clear();
+    }
+
+    pub(super) fn event(&mut self, node: usize, event: Event) {
+        let actions = self.nodes[node].state.handle(event, self.now);
+        for action in actions {
+            match action {
+                Action::Send { to, datagram } => self.post(node, to, datagram),
+                Action::Heard(rumour) => self.nodes[node].heard.push(rumour),
+                Action::Announced => self.nodes[node].announced = true,
+                Action::Twin(_) => self.nodes[node].twin = true,
+                Action::View(_) => {}
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, to: addresses::SocketAddr, datagram: wire::Datagram) {
+        use prost::Message as _;
+        assert!(datagram.encoded_len() <= wire::MAX);
+        let to = usize::from(to.port()) - 1000;
+        if self.faults.cut.contains(&(from, to)) || self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        let copies = if self.rng.random_bool(self.faults.double) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let delay = self.rng.random_range(0..=self.faults.delay);
+            let due = self.now + STEP * u32::try_from(delay).unwrap();
+            self.sent += 1;
+            self.flight
+                .insert((due, self.sent), (from, to, datagram.clone()));
+        }
+    }
+
+    /// Lets a tenth of a second pass.
+    pub(super) fn step(&mut self) {
+        self.now = self.now + STEP;
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].up && !self.nodes[node].paused {
+                for (from, datagram) in std::mem::take(&mut self.nodes[node].socket) {
+                    self.event(node, Event::Datagram { from, datagram });
+                }
+                self.event(node, Event::Tick);
+            }
+        }
+        while let Some(entry) = self.flight.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (from, to, datagram) = entry.remove();
+            self.deliver(from, to, datagram);
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, datagram: wire::Datagram) {
+        let Some(node) = self.nodes.get_mut(to).filter(|node| node.up) else {
+            return;
+        };
+        let from = address(from);
+        if !node.paused {
+            self.event(to, Event::Datagram { from, datagram });
+        } else if node.socket.len() < SOCKET {
+            node.socket.push((from, datagram));
+        }
+    }
+
+    pub(super) fn run(&mut self, seconds: u64) {
+        (0..seconds * 10).for_each(|_| self.step());
+    }
+
+    /// Whether all views agree with what is up within `seconds`.
+    pub(super) fn converges(&mut self, seconds: u64) -> bool {
+        (0..seconds).any(|_| {
+            self.run(1);
+            self.agree()
+        })
+    }
+
+    /// Whether every member that runs sees just those that run, none suspect.
+    pub(super) fn agree(&self) -> bool {
+        let running = |(_, node): &(usize, &Node)| node.up && !node.paused;
+        let up = || self.nodes.iter().enumerate().filter(running);
+        let mut names: Vec<_> = up().map(|(node, _)| vm(node)).collect();
+        names.sort();
+        up().all(|(_, node)| {
+            let view = node.state.view();
+            let there: Vec<_> = view
+                .members
+                .iter()
+                .map(|member| member.vm.clone())
+                .collect();
+            let sure = |member: &member::Member| member.state != member::State::Suspect;
+            there == names && view.members.iter().all(sure)
+        })
+    }
+
+    /// Cuts, in both directions, each of `left` from each other node.
+    pub(super) fn part(&mut self, left: std::ops::Range<usize>) {
+        for a in left.clone() {
+            for b in (0..self.nodes.len()).filter(|b| !left.contains(b)) {
+                self.faults.cut.extend([(a, b), (b, a)]);
+            }
+        }
+    }
+}
