Burn: counts by slice, inboxes, folding, report and page

Cause: VMs keep nothing, and the report must survive the replacement of all. Change: each VM delivers one numbered parcel to one of four inboxes; batches are folded into burn/{service}. Both steps are conditional and numbered, so lost replies double nothing. slo::Service, slo::report, slo::page.

--- a/crates/geraniumgauge/src/mesh/tests/service.rs
+++ b/crates/geraniumgauge/src/mesh/tests/service.rs
@@ -34,6 +34,7 @@
 fn pull(service: impl ToString) -> message::Body {
     message::Body::Pull(message::Pull {
         services: vec![service.to_string()],
+        ..message::Pull::default()
     })
 }
 
--- /dev/null
+++ b/crates/geraniumgauge/src/slo/instruments.rs
@@ -0,0 +1,53 @@
+//! Metrics of callers' requests.
+
+use opentelemetry::metrics;
+
+use crate::slo;
+
+/// Counters by service; only services that have a document are counted.
+#[derive(Debug)]
+pub(super) struct Instruments {
+    requests: metrics::Counter<u64>,
+    refused: metrics::Counter<u64>,
+    late: metrics::Counter<u64>,
+    incomplete: metrics::Counter<u64>,
+    attempts: metrics::Counter<u64>,
+    missing: metrics::Counter<u64>,
+}
+
+impl Instruments {
+    pub(super) fn new(meter: &metrics::Meter) -> Self {
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Self {
+            requests: counter("slo_requests", "requests of callers"),
+            refused: counter("slo_refused", "requests refused"),
+            late: counter("slo_late", "requests taken and not answered in time"),
+            incomplete: counter("slo_incomplete", "requests taken and not answered whole"),
+            attempts: counter("slo_attempts", "shard calls by kind, first or extra"),
+            missing: counter("slo_missing_shards", "missing shards by reason"),
+        }
+    }
+
+    pub(super) fn count(&self, event: &slo::Event) {
+        let service = opentelemetry::KeyValue::new("service", event.service.to_string());
+        let with = |key: &'static str, value: String| {
+            [service.clone(), opentelemetry::KeyValue::new(key, value)]
+        };
+        let labels = std::slice::from_ref(&service);
+        let taken = !event.refused;
+        self.requests.add(1, labels);
+        self.refused.add(u64::from(event.refused), labels);
+        self.late.add(u64::from(taken && !event.in_time), labels);
+        self.incomplete
+            .add(u64::from(taken && !event.complete), labels);
+        let kind = |kind: &str| with("kind", kind.to_owned());
+        self.attempts.add(event.first_attempts, &kind("first"));
+        self.attempts.add(event.extra_attempts, &kind("extra"));
+        for (reason, shards) in &event.missing {
+            self.missing
+                .add(*shards, &with("reason", reason.to_string()));
+        }
+    }
+}
--- a/crates/geraniumgauge/src/slo/mod.rs
+++ b/crates/geraniumgauge/src/slo/mod.rs
@@ -1,4 +1,30 @@
 //! Service-level indicators and their burn.
+//!
+//! Entries record what became of each request; the counts go to the store,
+//! where `geraniumgauge burn` reads them.
+
+mod counts;
+mod instruments;
+mod object;
+mod page;
+mod report;
+mod series;
+mod service;
+
+pub use counts::Counts;
+pub use page::page;
+pub use page::plot;
+pub use report::FAST;
+pub use report::Indicator;
+pub use report::Missing;
+pub use report::Report;
+pub use report::WINDOWS;
+pub use report::Window;
+pub use report::burn;
+pub use report::report;
+pub use series::Series;
+pub use service::Config;
+pub use service::Service;
 
 use crate::ids;
 use crate::query;
--- /dev/null
+++ b/crates/geraniumgauge/src/slo/series.rs
@@ -0,0 +1,129 @@
+//! Counts over time, in slices that grow coarser with age.
+
+use std::collections;
+use std::time;
+
+use crate::slo;
+use crate::time as clock;
+
+const MINUTE: u64 = 60_000;
+
+/// Widths of slices in milliseconds, and the age up to which each is kept. The
+/// report's windows are 5 minutes, 1 hour, 6 hours and 3 days.
+const TIERS: [(u64, u64); 3] = [
+    (MINUTE, 10 * MINUTE),
+    (5 * MINUTE, 370 * MINUTE),
+    (60 * MINUTE, (72 + 2) * 60 * MINUTE),
+];
+
+/// Counts of one service by time. At most about 160 slices.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Series {
+    slices: Vec<Slice>,
+}
+
+/// Counts from `start` for `width`.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+struct Slice {
+    #[serde(rename = "s")]
+    start: clock::Wall,
+    #[serde(rename = "w")]
+    width: u64,
+    #[serde(rename = "c")]
+    counts: slo::Counts,
+}
+
+impl Series {
+    /// The counts of the minute of `now`.
+    pub fn at(&mut self, now: clock::Wall) -> &mut slo::Counts {
+        self.slice(floor(now, MINUTE), MINUTE)
+    }
+
+    /// Adds another series.
+    pub fn add(&mut self, other: &Self) {
+        for slice in &other.slices {
+            self.slice(slice.start, slice.width).add(&slice.counts);
+        }
+    }
+
+    /// Whether nothing is counted.
+    pub fn is_empty(&self) -> bool {
+        self.slices.is_empty()
+    }
+
+    /// Merges slices that have aged and drops those of no window.
+    pub fn compact(&mut self, now: clock::Wall) {
+        let mut merged = collections::BTreeMap::<(clock::Wall, u64), slo::Counts>::new();
+        for slice in self.slices.drain(..) {
+            let age = millis(now.since(slice.start));
+            let fits = |(width, kept): &&(u64, u64)| slice.width <= *width && age <= *kept;
+            let Some((width, _)) = TIERS.iter().find(fits) else {
+                continue;
+            };
+            let start = floor(slice.start, *width);
+            merged
+                .entry((start, *width))
+                .or_default()
+                .add(&slice.counts);
+        }
+        let slices = merged.into_iter().map(|((start, width), counts)| Slice {
+            start,
+            width,
+            counts,
+        });
+        self.slices = slices.collect();
+    }
+
+    /// The counts of the last `window`. Slices count whole, so up to one
+    /// slice's width more than the window may be in it.
+    pub fn window(&self, now: clock::Wall, window: time::Duration) -> slo::Counts {
+        let from = now.0.saturating_sub(millis(window));
+        let mut sum = slo::Counts::default();
+        let within = |slice: &&Slice| slice.start.0 + slice.width > from;
+        let slices = self.slices.iter().filter(within);
+        slices.for_each(|slice| sum.add(&slice.counts));
+        sum
+    }
+
+    /// Start of the oldest slice.
+    pub fn oldest(&self) -> Option<clock::Wall> {
+        self.slices.iter().map(|slice| slice.start).min()
+    }
+
+    /// Start and counts of every slice, oldest first.
+    pub fn points(&self) -> Vec<(clock::Wall, &slo::Counts)> {
+        let slices = self.slices.iter();
+        let mut points: Vec<_> = slices.map(|slice| (slice.start, &slice.counts)).collect();
+        points.sort_by_key(|(start, _)| *start);
+        points
+    }
+
+    fn slice(&mut self, start: clock::Wall, width: u64) -> &mut slo::Counts {
+        let same = |slice: &Slice| slice.start == start && slice.width == width;
+        let at = match self.slices.iter().rposition(same) {
+            Some(at) => at,
+            None => {
+                self.slices.push(Slice {
+                    start,
+                    width,
+                    counts: slo::Counts::default(),
+                });
+                self.slices.len() - 1
+            }
+        };
+        &mut self.slices[at].counts
+    }
+}
+
+fn floor(moment: clock::Wall, width: u64) -> clock::Wall {
+    clock::Wall(moment.0 - moment.0 % width)
+}
+
+fn millis(span: time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+#[cfg(test)]
+#[path = "tests/series.rs"]
+mod tests;
