--- a/crates/geraniumgauge/src/mesh/message.rs
+++ b/crates/geraniumgauge/src/mesh/message.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// What it carries; a frame of a newer kind decodes as none and is skipped.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -55,6 +55,9 @@
     /// close from a process that died, which looks the same to a socket.
     #[prost(message, tag = "13")]
     Bye(Bye),
+    /// To every VM: a request that may crash upstreams.
+    #[prost(message, tag = "14")]
+    Mark(Mark),
 }
 
 /// Who opens a link.
@@ -126,7 +129,17 @@
 }
 
 /// Why a call is made.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    prost::Enumeration
+)]
 pub enum Kind {
     /// The first for its shard and pin.
     First = 0,
@@ -190,7 +203,17 @@
 }
 
 /// What became of a call at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    prost::Enumeration
+)]
 pub enum Outcome {
     /// Unset or of a newer kind: treated as [`Outcome::Lost`].
     Unknown = 0,
@@ -417,3 +440,21 @@
     #[prost(uint64, tag = "7")]
     pub layout_object: u64,
 }
+
+/// A request that may crash upstreams, told directly; the same as its rumour.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Mark {
+    /// As [`crate::member::Rumour::key`].
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// As [`crate::member::Rumour::version`].
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// As [`crate::member::Rumour::body`].
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: Bytes,
+    /// The receiver passes it on to this many members from itself on, by the
+    /// view's order; 0 where it keeps it.
+    #[prost(uint32, tag = "4")]
+    pub relay: u32,
+}
