Burn counts wired; a registration's result without its wrapping

Cause: the demo showed "result": {"result": ...}: the adapter handed on the upstream's whole body. Rocket's logger wrote into the measurements' output. Change: the adapter takes the result out; slo is wired and flushed on a stop; the stand-ins log warnings only. Conclusion: callers read the result as the guide shows it.

--- a/crates/geraniumgauge/src/upstream/reply.rs
+++ b/crates/geraniumgauge/src/upstream/reply.rs
@@ -170,6 +170,7 @@
             return Reply::bare(Outcome::Crossed);
         }
         let offered = |name| number(headers, name).map(ids::IndexVersion);
+        let body = if self.once { registered(body) } else { body };
         Reply {
             index_version: version.unwrap_or_default(),
             oldest: offered(super::INDEX_OLDEST).unwrap_or_default(),
@@ -204,6 +205,21 @@
     }
 }
 
+#[derive(serde::Deserialize)]
+struct Registered<'a> {
+    #[serde(borrow)]
+    result: &'a serde_json::value::RawValue,
+}
+
+/// The result within a registration's reply. It ran, whatever its form, so a
+/// body without a `result` stands for itself.
+fn registered(body: bytes::Bytes) -> bytes::Bytes {
+    match serde_json::from_slice::<Registered<'_>>(&body) {
+        Ok(registered) => bytes::Bytes::copy_from_slice(registered.result.get().as_bytes()),
+        Err(_) => body,
+    }
+}
+
 fn reusable(outcome: Outcome) -> Reply {
     Reply {
         reusable: true,
--- a/crates/geraniumgauge/src/vm/mod.rs
+++ b/crates/geraniumgauge/src/vm/mod.rs
@@ -24,6 +24,7 @@
 use crate::mesh;
 use crate::metrics;
 use crate::query;
+use crate::slo;
 use crate::store;
 
 /// Tries for a port that is free for both TCP and UDP, where any will do.
@@ -83,6 +84,7 @@
     pub(crate) query: query::Service,
     pub(crate) ledger: ledger::Service,
     pub(crate) document: document::Service,
+    pub(crate) slo: slo::Service,
     pub(crate) metrics: metrics::Metrics,
 }
 
@@ -157,6 +159,7 @@
             log::warn!(target: "vm", "requests were still running after the grace period");
         }
         self.callers.stop().await;
+        self.duties.slo.flush().await;
         self.duties.mesh.close().await;
         self.operators.stop().await;
         drop(self.stop);
--- a/crates/geraniumgauge/src/vm/wiring.rs
+++ b/crates/geraniumgauge/src/vm/wiring.rs
@@ -68,7 +68,8 @@
         let dispatch = sync::Arc::new(dispatch::Dispatch::default());
         let mesh = self.mesh(listener, &member, sync::Arc::clone(&dispatch) as _);
         let post: sync::Arc<dyn mesh::Post> = sync::Arc::clone(&mesh) as _;
-        let slo: sync::Arc<dyn slo::Record> = sync::Arc::new(Unrecorded);
+        let slo = self.slo();
+        let record: sync::Arc<dyn slo::Record> = sync::Arc::new(slo.clone());
         let direct = sync::Arc::new(quarantine::Direct {
             gossip: sync::Arc::new(member.clone()),
             post: sync::Arc::clone(&post),
@@ -76,8 +77,8 @@
         });
         let book = self.quarantine(sync::Arc::clone(&direct));
         let home = self.home(&member, &post);
-        let query = self.query(&member, &post, &book, &slo);
-        let ledger = self.ledger(&member, &post, &book, &slo);
+        let query = self.query(&member, &post, &book, &record);
+        let ledger = self.ledger(&member, &post, &book, &record);
         let document = self.document(&member, &post);
         dispatch.set(dispatch::Targets {
             home: home.clone(),
@@ -96,6 +97,7 @@
             query,
             ledger,
             document,
+            slo,
             metrics,
         }
     }
@@ -130,6 +132,20 @@
         )
     }
 
+    fn slo(&self) -> slo::Service {
+        slo::Service::start(
+            slo::Config {
+                vm: self.config.vm.clone(),
+                incarnation: self.incarnation,
+            },
+            self.catalog.clone(),
+            sync::Arc::clone(&self.store),
+            self.clock,
+            self.timer.clone(),
+            &self.meter,
+        )
+    }
+
     fn quarantine(&self, spread: sync::Arc<quarantine::Direct>) -> quarantine::Service {
         quarantine::Service::start(
             quarantine::Config {
@@ -161,7 +177,7 @@
         member: &member::Service,
         post: &sync::Arc<dyn mesh::Post>,
         book: &quarantine::Service,
-        slo: &sync::Arc<dyn slo::Record>,
+        record: &sync::Arc<dyn slo::Record>,
     ) -> query::Service {
         let config = query::Config {
             vm: self.config.vm.clone(),
@@ -174,7 +190,7 @@
             member.view(),
             sync::Arc::clone(post),
             book.clone(),
-            sync::Arc::clone(slo),
+            sync::Arc::clone(record),
             self.clock,
             self.timer.clone(),
             &self.meter,
@@ -186,7 +202,7 @@
         member: &member::Service,
         post: &sync::Arc<dyn mesh::Post>,
         book: &quarantine::Service,
-        slo: &sync::Arc<dyn slo::Record>,
+        record: &sync::Arc<dyn slo::Record>,
     ) -> ledger::Service {
         let config = ledger::Config {
             vm: self.config.vm.clone(),
@@ -200,7 +216,7 @@
             sync::Arc::clone(post),
             sync::Arc::clone(&self.store),
             sync::Arc::new(book.clone()),
-            sync::Arc::clone(slo),
+            sync::Arc::clone(record),
             self.clock,
             self.timer.clone(),
             &self.meter,
@@ -225,10 +241,3 @@
         document::Service::start(document::Config { vm, data_centre }, parts, &self.meter)
     }
 }
-
-/// Burn counts are not kept yet.
-struct Unrecorded;
-
-impl slo::Record for Unrecorded {
-    fn record(&self, _: &slo::Event) {}
-}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -21,6 +21,7 @@
             return USAGE.into();
         }
     };
+    logs();
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -33,6 +34,13 @@
     code
 }
 
+/// Warnings go to standard error. Set up before rocket, which would install a
+/// logger of its own.
+fn logs() {
+    let warnings = fern::Dispatch::new().level(log::LevelFilter::Warn).chain(std::io::stderr());
+    let _ = warnings.apply();
+}
+
 async fn obey(order: args::Order) -> process::ExitCode {
     match order {
         args::Order::Help => {
