--- a/crates/geraniumgauge/src/http/callers.rs
+++ b/crates/geraniumgauge/src/http/callers.rs
@@ -130,8 +130,11 @@
         .and_then(|headers| headers.caller_id.as_deref());
     log::info!(
         target: "callers",
-        "request_id={} caller_request_id={} code={} ran={} {}",
-        head.request, caller.unwrap_or("-"), refusal.code, refusal.ran, refusal.message
+        request = head.request.as_str(),
+        caller_request = caller.unwrap_or("-"),
+        code:% = refusal.code,
+        ran:% = refusal.ran;
+        "refused: {}", refusal.message
     );
 }
 
--- a/crates/geraniumgauge/src/http/mod.rs
+++ b/crates/geraniumgauge/src/http/mod.rs
@@ -90,3 +90,6 @@
 
 /// A backend shared by the servers.
 pub type Shared = sync::Arc<dyn Backend>;
+
+#[cfg(test)]
+mod tests;
