Load on a running site; checks by layout

Cause: stops of real processes must be tried under load from outside. Change: geraniumgauge-standin load sends searches or registrations to a site that scripts/site runs, through a balancer that asks /readyz; checks need the layout only.

--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -2,8 +2,10 @@
 
 use std::ffi;
 use std::net;
+use std::time;
 
 use geraniumgauge::query;
+use geraniumgauge_standin::drive;
 use geraniumgauge_standin::measure;
 use geraniumgauge_standin::site;
 
@@ -12,6 +14,8 @@
 usage: geraniumgauge-standin platform [--listen IP:PORT]
        geraniumgauge-standin upstream --site kowhai|authority --platform URL
                                       [--data-centres N] [--first-port N]
+       geraniumgauge-standin load --site kowhai|authority --service NAME
+                                  [--rate R] [--seconds N] [--records]
        geraniumgauge-standin demo
        geraniumgauge-standin measure list
        geraniumgauge-standin measure SCENARIO...|all [--json] [--seed N] [--policy NAME]
@@ -21,6 +25,10 @@
   --platform URL      where layouts and documents are put
   --data-centres N    data centres that the upstreams are spread over (default 3)
   --first-port N      port of the first upstream, the rest follow (default: any)
+  --service NAME      the service to send to, at a site that scripts/site runs
+  --rate R            requests a second (default 50)
+  --seconds N         for how long (default 10)
+  --records           send registrations instead of searches
   --json              one JSON line a scenario
   --seed N            seeds arrivals and faults (default 1)
   --policy NAME       full, no-hedge or direct (default full)
@@ -44,6 +52,8 @@
         data_centres: usize,
         first_port: Option<u16>,
     },
+    /// Send requests to a site that runs as processes of its own.
+    Load(drive::Config),
     /// Run the demo.
     Demo,
     /// Name the scenarios.
@@ -91,6 +101,15 @@
             data_centres: args.opt_value_from_str("--data-centres")?.unwrap_or(3),
             first_port: args.opt_value_from_str("--first-port")?,
         },
+        Some("load") => Order::Load(drive::Config {
+            site: args.value_from_str("--site")?,
+            service: args.value_from_str("--service")?,
+            rate: args
+                .opt_value_from_str("--rate")?
+                .unwrap_or(geraniumgauge::rate::PerSecond(50.0)),
+            span: time::Duration::from_secs(args.opt_value_from_str("--seconds")?.unwrap_or(10)),
+            records: args.contains("--records"),
+        }),
         Some("demo") => Order::Demo,
         Some("measure") => return measure(args),
         Some(other) => return Err(usage(format!("no command {other:?}; see the list below"))),
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -71,7 +71,7 @@
     let query = serde_json::json!({ "text": "lime mix, west tower" });
     let service = site.service(SERVICE);
     let sample = caller.search(service.id(), &query, DEADLINE).await;
-    if let Some(violation) = check::search(service, &query, &sample).first() {
+    if let Some(violation) = check::search(&service.layout, &query, &sample).first() {
         return wrong(violation.to_string());
     }
     let body = answered(&sample)?;
--- /dev/null
+++ b/crates/standin/src/drive.rs
@@ -0,0 +1,167 @@
+//! Load on a site that `scripts/site` runs as processes of its own.
+
+use std::collections;
+use std::fmt;
+use std::time;
+
+use geraniumgauge::ids;
+use geraniumgauge::layout;
+use geraniumgauge::metrics;
+use geraniumgauge::rate;
+use geraniumgauge::store;
+use geraniumgauge::store::Api as _;
+use geraniumgauge::time::Clock;
+
+use crate::measure::load;
+use crate::measure::outcome;
+use crate::measure::tally;
+use crate::site;
+
+/// What is sent, and where to.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The site.
+    pub site: site::Name,
+    /// Its service.
+    pub service: ids::Service,
+    /// Requests a second on average.
+    pub rate: rate::PerSecond,
+    /// For how long.
+    pub span: time::Duration,
+    /// Registrations instead of searches.
+    pub records: bool,
+}
+
+/// Why load can't be put on a site.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
+pub enum Error {
+    /// The HTTP client can't be set up.
+    #[display("{_0}")]
+    Client(reqwest::Error),
+    /// The layout can't be read.
+    #[display("{_0}; is the site running? see scripts/site")]
+    Store(store::Error),
+    /// The store's client can't be set up.
+    #[display("{_0}")]
+    Metrics(metrics::Error),
+    /// The layout isn't one.
+    #[display("the layout can't be read: {_0}")]
+    Layout(serde_json::Error),
+}
+
+/// What came back.
+#[derive(Debug)]
+pub struct Report {
+    outcome: outcome::Outcome,
+}
+
+impl Report {
+    /// Whether no promise was seen broken.
+    pub fn is_sound(&self) -> bool {
+        self.outcome.violations.is_empty()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (name, value) in &self.outcome.figures {
+            writeln!(out, "  {name:<36}{value:>14.3}")?;
+        }
+        writeln!(out, "  violations: {}", self.outcome.violations.len())?;
+        for violation in &self.outcome.violations {
+            writeln!(out, "    {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Deadline of each request.
+const DEADLINE: time::Duration = time::Duration::from_secs(2);
+/// Wait for the balancer's first round.
+const FIRST_ROUND: time::Duration = time::Duration::from_millis(500);
+
+/// Sends requests and sums up what comes back.
+///
+/// # Errors
+/// Where the site's layout can't be had.
+pub async fn run(config: &Config) -> Result<Report, Error> {
+    let meter = metrics::Metrics::new()?.meter();
+    let store = store::Client::new(config.site.platform(), Clock::start(), &meter)?;
+    let object = store.get(&layout::key(&config.service)).await?;
+    let layout: layout::Layout = serde_json::from_slice(&object.body)?;
+    let balancer = site::Balancer::start();
+    for number in 0..site::VMS {
+        let (callers, operators) = config.site.vm(number);
+        let vm = site::named(format!("{}-vm-{number}", config.site));
+        balancer.add(&vm, callers, operators);
+    }
+    tokio::time::sleep(FIRST_ROUND).await;
+    let caller = load::Caller::through(balancer)?;
+    let outcome = match config.records {
+        false => searches(config, &caller, &layout).await,
+        true => records(config, &caller).await,
+    };
+    Ok(Report { outcome })
+}
+
+async fn searches(
+    config: &Config,
+    caller: &load::Caller,
+    layout: &layout::Layout,
+) -> outcome::Outcome {
+    let samples = load::open_loop(config.rate.0, config.span, 1, |number| {
+        let (caller, service) = (caller.clone(), config.service.clone());
+        let query = serde_json::json!({ "text": format!("load {}", number % 50) });
+        async move {
+            let sample = caller.search(&service, &query, DEADLINE).await;
+            (query, sample)
+        }
+    });
+    let mut tally = tally::Tally::default();
+    for (query, sample) in samples.await {
+        tally.add(layout, &query, &sample);
+    }
+    // The upstreams' counts aren't at hand, so there is no figure of extra load.
+    let mut outcome = tally.outcome(0);
+    outcome.figures.remove("extra_load_share");
+    outcome
+}
+
+/// Promise of [`records`]: an answer or a refusal comes back.
+const ANSWERED: &str = crate::measure::check::ANSWERED;
+
+async fn records(config: &Config, caller: &load::Caller) -> outcome::Outcome {
+    let run = rand::random::<u32>();
+    let samples = load::open_loop(config.rate.0, config.span, 1, |number| {
+        let (caller, service) = (caller.clone(), config.service.clone());
+        let key = format!("load-{run:x}-{number}");
+        let record = serde_json::json!({ "number": number });
+        async move {
+            caller
+                .register(&service, &key, &record, DEADLINE, None)
+                .await
+        }
+    });
+    let mut outcome = outcome::Outcome::default();
+    let mut counts = collections::BTreeMap::<String, u64>::new();
+    for sample in samples.await {
+        let name = match &sample.reply {
+            Ok(reply) if reply.status == 200 => "done".to_owned(),
+            Ok(reply) => format!(
+                "refused_ran_{}",
+                reply.body["error"]["ran"].as_str().unwrap_or("-")
+            ),
+            Err(load::Lost::Unsent(_)) => "unsent".to_owned(),
+            Err(load::Lost::Sent(why)) => {
+                outcome.violate(ANSWERED, sample.request_id(), why);
+                "lost".to_owned()
+            }
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    for (name, count) in counts {
+        outcome.figure(name, count as f64);
+    }
+    outcome
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! that run against them. Nothing here is part of a deployment.
 
 pub mod demo;
+pub mod drive;
 pub mod measure;
 pub mod platform;
 pub mod serve;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,6 +6,7 @@
 use std::process;
 
 use geraniumgauge_standin::demo;
+use geraniumgauge_standin::drive;
 use geraniumgauge_standin::measure;
 use geraniumgauge_standin::platform;
 use geraniumgauge_standin::site;
@@ -76,6 +77,17 @@
                 Err(error) => fail(&error),
             }
         }
+        args::Order::Load(config) => match drive::run(&config).await {
+            Ok(report) => {
+                print!("{report}");
+                if report.is_sound() {
+                    process::ExitCode::SUCCESS
+                } else {
+                    process::ExitCode::FAILURE
+                }
+            }
+            Err(error) => fail(&error),
+        },
         args::Order::Demo => match demo::run().await {
             Ok(()) => process::ExitCode::SUCCESS,
             Err(error) => fail(&error),
--- a/crates/standin/src/measure/check.rs
+++ b/crates/standin/src/measure/check.rs
@@ -2,11 +2,11 @@
 
 use std::collections;
 
+use geraniumgauge::layout;
 use geraniumgauge::query;
 
 use crate::measure::load;
 use crate::measure::outcome;
-use crate::site;
 use crate::upstream::corpus;
 
 /// Every hit is of the stated snapshot.
@@ -23,7 +23,7 @@
 /// What is wrong with the answer to `query` that `sample` holds. A refusal and
 /// a request that was never sent break nothing here.
 pub fn search(
-    service: &site::Service,
+    layout: &layout::Layout,
     query: &serde_json::Value,
     sample: &load::Sample,
 ) -> Vec<outcome::Violation> {
@@ -34,7 +34,7 @@
         Err(load::Lost::Sent(why)) => wrong.violate(ANSWERED, request, why),
         Ok(reply) if reply.status == 200 => {
             match serde_json::from_value::<query::Answer>(reply.body.clone()) {
-                Ok(answer) => answered(service, query, &answer, &mut wrong),
+                Ok(answer) => answered(layout, query, &answer, &mut wrong),
                 Err(error) => wrong.violate(OWN_ANSWER, request, error.to_string()),
             }
         }
@@ -49,7 +49,7 @@
 }
 
 fn answered(
-    service: &site::Service,
+    layout: &layout::Layout,
     query: &serde_json::Value,
     answer: &query::Answer,
     wrong: &mut outcome::Outcome,
@@ -59,7 +59,7 @@
     let missing: collections::BTreeSet<_> = coverage.missing.iter().map(|m| &m.shard).collect();
     let sums = coverage.covered + missing.len() == coverage.shards
         && missing.len() == coverage.missing.len()
-        && coverage.shards == service.layout.shards.len()
+        && coverage.shards == layout.shards.len()
         && coverage.complete == missing.is_empty();
     if !sums {
         wrong.violate(TRUE_COVERAGE, &request, format!("{coverage:?}"));
@@ -73,8 +73,7 @@
         let seen = format!("hit {} at {:?} under version {version}", hit.id, hit.rest);
         wrong.violate(ONE_SNAPSHOT, &request, seen);
     }
-    let covered = service
-        .layout
+    let covered = layout
         .shards
         .iter()
         .filter(|shard| !missing.contains(&shard.id));
--- a/crates/standin/src/measure/load.rs
+++ b/crates/standin/src/measure/load.rs
@@ -79,15 +79,20 @@
     /// # Errors
     /// Where the HTTP client can't be set up.
     pub fn new(site: &site::Site) -> Result<Self, reqwest::Error> {
+        Self::through(sync::Arc::clone(&site.balancer))
+    }
+
+    /// A caller through a balancer.
+    ///
+    /// # Errors
+    /// Where the HTTP client can't be set up.
+    pub fn through(balancer: sync::Arc<site::Balancer>) -> Result<Self, reqwest::Error> {
         let client = reqwest::Client::builder()
             .tcp_nodelay(true)
             .pool_max_idle_per_host(512)
             .retry(reqwest::retry::never())
             .build()?;
-        Ok(Self {
-            client,
-            balancer: sync::Arc::clone(&site.balancer),
-        })
+        Ok(Self { client, balancer })
     }
 
     /// Sends a search.
--- a/crates/standin/src/measure/straggler.rs
+++ b/crates/standin/src/measure/straggler.rs
@@ -65,7 +65,7 @@
     });
     let mut tally = tally::Tally::default();
     for (query, sample) in samples.await {
-        tally.add(service, &query, &sample);
+        tally.add(&service.layout, &query, &sample);
     }
     Ok(tally)
 }
--- a/crates/standin/src/measure/tally.rs
+++ b/crates/standin/src/measure/tally.rs
@@ -2,10 +2,11 @@
 
 use std::collections;
 
+use geraniumgauge::layout;
+
 use crate::measure::check;
 use crate::measure::load;
 use crate::measure::outcome;
-use crate::site;
 
 /// Highest latency told apart, in microseconds.
 const MOST_US: u64 = 120_000_000;
@@ -50,13 +51,12 @@
     /// Checks and counts one search.
     pub fn add(
         &mut self,
-        service: &site::Service,
+        layout: &layout::Layout,
         query: &serde_json::Value,
         sample: &load::Sample,
     ) {
         self.sent += 1;
-        self.violations
-            .extend(check::search(service, query, sample));
+        self.violations.extend(check::search(layout, query, sample));
         let Ok(reply) = &sample.reply else {
             self.lost += 1;
             return;
--- a/crates/standin/src/site/balancer.rs
+++ b/crates/standin/src/site/balancer.rs
@@ -28,6 +28,13 @@
 }
 
 impl Balancer {
+    /// A balancer that asks its VMs until it is dropped.
+    pub fn start() -> sync::Arc<Self> {
+        let balancer = sync::Arc::new(Self::default());
+        tokio::spawn(watch(sync::Arc::downgrade(&balancer)));
+        balancer
+    }
+
     /// Takes a VM in; it gets requests once it says that it is ready.
     pub fn add(&self, vm: &ids::Vm, callers: net::SocketAddr, operators: net::SocketAddr) {
         let target = Target {
@@ -74,7 +81,7 @@
 }
 
 /// Asks the VMs round by round until the balancer is gone.
-pub(super) async fn watch(balancer: sync::Weak<Balancer>) {
+async fn watch(balancer: sync::Weak<Balancer>) {
     let Ok(client) = reqwest::Client::builder().timeout(PATIENCE).build() else {
         return;
     };
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -14,7 +14,10 @@
 pub use serve::serve;
 pub use service::Service;
 pub use service::Spec;
+pub use service::named;
+pub use service::shard_id;
 pub use sites::Name;
+pub use sites::VMS;
 
 use std::io;
 use std::net;
@@ -116,8 +119,7 @@
             service.publish(&platform);
             services.push(service);
         }
-        let balancer = sync::Arc::new(Balancer::default());
-        tokio::spawn(balancer::watch(sync::Arc::downgrade(&balancer)));
+        let balancer = Balancer::start();
         let mut site = Self {
             platform,
             services,
--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -216,7 +216,7 @@
 }
 
 /// The id of a service's `number`th shard.
-pub(super) fn shard_id(number: usize) -> ids::Shard {
+pub fn shard_id(number: usize) -> ids::Shard {
     named(format!("shard-{number}"))
 }
 
@@ -225,6 +225,6 @@
     clippy::expect_used,
     reason = "the texts are made of letters, digits and dashes"
 )]
-pub(super) fn named<T: std::str::FromStr<Err = ids::Error>>(text: String) -> T {
+pub fn named<T: std::str::FromStr<Err = ids::Error>>(text: String) -> T {
     text.parse().expect("a valid identifier")
 }
--- a/crates/standin/src/site/sites.rs
+++ b/crates/standin/src/site/sites.rs
@@ -1,5 +1,6 @@
 //! The users' sites of today, by the sizes that they gave.
 
+use std::net;
 use std::time;
 
 use geraniumgauge::document;
@@ -47,6 +48,33 @@
     }
 }
 
+/// VMs of a site that `scripts/site` runs.
+pub const VMS: u16 = 8;
+const CALLERS: u16 = 10;
+const OPERATORS: u16 = 30;
+
+/// Where `scripts/site` puts a site's processes; the script has the same numbers.
+impl Name {
+    /// The platform's port; the others lie above it.
+    pub fn base(self) -> u16 {
+        match self {
+            Self::Kowhai => 17400,
+            Self::Authority => 18400,
+        }
+    }
+
+    /// The platform's URL.
+    pub fn platform(self) -> String {
+        format!("http://127.0.0.1:{}", self.base())
+    }
+
+    /// The addresses of a VM for callers and for operators.
+    pub fn vm(self, number: u16) -> (net::SocketAddr, net::SocketAddr) {
+        let at = |offset: u16| net::SocketAddr::from(([127, 0, 0, 1], self.base() + offset));
+        (at(CALLERS + number), at(OPERATORS + number))
+    }
+}
+
 /// Shards of the workloads whose count the users left open.
 const LARGE_SHARDS: usize = 8;
 
