--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -6,8 +6,15 @@
 pub mod outcome;
 pub mod tally;
 
+mod cold_start;
+mod drain;
 mod fanout;
+mod overload;
+mod replica_loss;
 mod report;
+pub mod searches;
+mod shed;
+mod silent;
 mod straggler;
 
 pub use report::Report;
@@ -62,7 +69,16 @@
 }
 
 /// All scenarios, in the order in which `all` runs them.
-pub const SCENARIOS: &[Scenario] = &[straggler::SCENARIO, fanout::SCENARIO];
+pub const SCENARIOS: &[Scenario] = &[
+    straggler::SCENARIO,
+    fanout::SCENARIO,
+    overload::SCENARIO,
+    shed::SCENARIO,
+    cold_start::SCENARIO,
+    drain::SCENARIO,
+    replica_loss::SCENARIO,
+    silent::SCENARIO,
+];
 
 /// The scenario of that name.
 pub fn find(name: &str) -> Option<Scenario> {
