--- a/crates/geraniumgauge/src/quarantine/mod.rs
+++ b/crates/geraniumgauge/src/quarantine/mod.rs
@@ -28,7 +28,16 @@
 
 /// What holds for a request before it runs.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display
 )]
 #[display(rename_all = "lowercase")]
 pub enum Verdict {
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -28,7 +28,14 @@
 /// How calls are placed and repeated. All but [`Policy::Full`] are baselines
 /// for measurements.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, derive_more::Display, derive_more::FromStr,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    derive_more::Display,
+    derive_more::FromStr
 )]
 pub enum Policy {
     /// Everything.
@@ -135,7 +142,11 @@
 
     /// Replies from a home.
     pub fn replies(&self, from: &ids::Vm, replies: message::Replies) {
-        self.inner.route.replies(from, replies.replies);
+        let late = self.inner.route.replies(from, replies.replies);
+        let lost = |reply: &&message::Reply| reply.outcome() == message::Outcome::Lost;
+        for reply in late.iter().filter(lost) {
+            self.inner.lost_late(reply);
+        }
     }
 
     /// The link to a VM was lost.
