--- a/crates/geraniumgauge/src/store/backoff.rs
+++ b/crates/geraniumgauge/src/store/backoff.rs
@@ -33,3 +33,7 @@
         self.failures = 0;
     }
 }
+
+#[cfg(test)]
+#[path = "tests/backoff.rs"]
+mod tests;
--- a/crates/geraniumgauge/src/store/budget.rs
+++ b/crates/geraniumgauge/src/store/budget.rs
@@ -90,3 +90,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "tests/budget.rs"]
+mod tests;
--- a/crates/geraniumgauge/src/store/client.rs
+++ b/crates/geraniumgauge/src/store/client.rs
@@ -295,3 +295,7 @@
     let reason = format!("status {status}");
     store::Error::Unavailable { reason }
 }
+
+#[cfg(test)]
+#[path = "tests/client.rs"]
+mod tests;
