--- /dev/null
+++ b/crates/cli/src/tests/status.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+#[test]
+fn a_refused_edit_is_told_with_its_places() {
+    let findings = document::parse("documents/desk", "{\"team\": 3}").unwrap_err();
+    let status = document::Status {
+        service: "desk".parse().unwrap(),
+        generation: ids::Generation(4),
+        layout: ids::LayoutVersion(0),
+        document: document::Verdict::Refused {
+            version: ids::ObjectVersion(9),
+            findings,
+        },
+        layout_findings: Vec::new(),
+        in_force: 7,
+        vms: 8,
+        behind: vec!["vm-3".parse().unwrap()],
+        retired: false,
+        keeper: "vm-1".parse().unwrap(),
+        written: time::Wall(1000),
+    };
+    let text = text(&status, time::Wall(1000 + 200_000));
+    for part in [
+        "desk: generation 4",
+        "in force at 7 of 8 VMs; not yet or not heard of at vm-3",
+        "version 9: refused",
+        "documents/desk:1:10: team: a number stands here",
+        "no layout",
+        "written by vm-1 3 min ago",
+        "nobody has refreshed this",
+    ] {
+        assert!(text.contains(part), "{part} is not in\n{text}");
+    }
+}
--- /dev/null
+++ b/crates/cli/src/unsettled.rs
@@ -0,0 +1,40 @@
+//! `unsettled SERVICE`.
+
+use geraniumgauge::ledger;
+use geraniumgauge::time;
+
+use crate::failure;
+use crate::table;
+use crate::verbs;
+
+/// Lists registrations whose end isn't known.
+pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
+    let service = call.service()?;
+    let store = call.store()?;
+    let found = ledger::unsettled(&store, &service).await?;
+    if call.has("--json") {
+        println!("{}", table::json(&found));
+        return Ok(());
+    }
+    if found.is_empty() {
+        println!("{service}: every registration that was claimed is settled");
+        return Ok(());
+    }
+    let now = time::Clock::start().wall();
+    let rows = found.iter().map(|claim| {
+        vec![
+            claim.key.to_string(),
+            claim.request.to_string(),
+            table::age(now.since(claim.since)),
+            claim.upstream.to_string(),
+        ]
+    });
+    let heads = ["key", "request", "claimed for", "upstream"];
+    println!("{}", table::table(&heads, rows.collect()));
+    println!(
+        "{} claimed, end unknown: ask the upstream whether it ran; under these keys nothing \
+         will run again",
+        found.len()
+    );
+    Ok(())
+}
--- a/crates/geraniumgauge/src/slo/mod.rs
+++ b/crates/geraniumgauge/src/slo/mod.rs
@@ -12,6 +12,7 @@
 mod service;
 
 pub use counts::Counts;
+pub use page::Error as PageError;
 pub use page::page;
 pub use page::plot;
 pub use report::FAST;
