--- /dev/null
+++ b/crates/geraniumgauge/src/query/gather/tests/properties.rs
@@ -0,0 +1,118 @@
+//! Whatever the order, loss, doubling and lateness of replies.
+
+use std::collections;
+use std::time;
+
+use super::world;
+use crate::query;
+use crate::query::fleet;
+use crate::query::gather;
+
+const EVERYTHING: world::Faults = world::Faults {
+    bad: 15,
+    lost: 5,
+    doubled: 15,
+    crossed: 10,
+    slow: 5,
+    moving: true,
+};
+
+fn size(seed: u64) -> (usize, usize) {
+    let shards = 1 + (seed % 23) as usize;
+    let replicas = 1 + (seed / 23 % 4) as usize;
+    (shards, replicas)
+}
+
+fn run(seed: u64) -> (world::World, gather::Counts) {
+    let (shards, replicas) = size(seed);
+    let mut world = world::World::new(seed, shards, replicas, EVERYTHING);
+    if seed.is_multiple_of(3) {
+        world.repartition(shards + 2, replicas);
+    }
+    let mut setup = world.setup(1 << 20);
+    setup.canary = seed.is_multiple_of(2);
+    setup.limit = 1000;
+    if seed.is_multiple_of(5) {
+        let at = world.now + time::Duration::from_millis(60);
+        let covered = shards.div_ceil(2);
+        setup.soft = Some(gather::Soft { at, covered });
+    }
+    let counts = world.run(setup);
+    (world, counts)
+}
+
+/// Checks an answer against the fake's hits, which say what they are of.
+fn sound(answer: &query::Answer, shards: usize) -> Result<(), String> {
+    let coverage = &answer.coverage;
+    if coverage.shards != shards || coverage.covered + coverage.missing.len() != shards {
+        return Err(format!("{coverage:?} of {shards}"));
+    }
+    if coverage.complete != coverage.missing.is_empty() {
+        return Err(format!("{coverage:?}"));
+    }
+    let mut from = collections::BTreeMap::<String, usize>::new();
+    for hit in &answer.hits {
+        let pin = answer.snapshot;
+        let of = serde_json::json!([hit.shard.as_str(), pin.version.0, pin.layout.0]);
+        if hit.rest["of"] != of {
+            return Err(format!("{hit:?} at {pin:?}"));
+        }
+        *from.entry(hit.shard.to_string()).or_default() += 1;
+    }
+    if from.len() != coverage.covered || from.values().any(|count| *count != 2) {
+        return Err(format!("{from:?} for {coverage:?}"));
+    }
+    let missing = coverage
+        .missing
+        .iter()
+        .map(|missing| missing.shard.to_string());
+    match missing.filter(|shard| from.contains_key(shard)).count() {
+        0 => Ok(()),
+        _ => Err(format!("{coverage:?} names a covered shard")),
+    }
+}
+
+quickcheck::quickcheck! {
+    fn one_answer_of_one_pin_with_true_coverage(seed: u64) -> Result<(), String> {
+        let (world, _) = run(seed);
+        let [answer] = world.answers.as_slice() else {
+            return Err(format!("{} answers", world.answers.len()));
+        };
+        let (shards, _) = size(seed);
+        let repartitioned = answer.snapshot.layout.0 == 2;
+        sound(answer, if repartitioned { shards + 2 } else { shards })
+    }
+
+    fn extra_calls_stay_within_the_budgets(seed: u64) -> bool {
+        let (shards, _) = size(seed);
+        let (world, counts) = run(seed);
+        let earned = shards as f64 * 0.05;
+        let sent = world.sent.len() as u64;
+        counts.hedges as f64 <= fleet::HEDGE_CAP + earned
+            && counts.retries as f64 <= fleet::RETRY_CAP + earned
+            && counts.first <= shards as u64
+            && counts.moved <= 3 * (shards as u64 + 2)
+            && counts.restarts <= 2
+            && counts.again <= counts.restarts * (shards as u64 + 2)
+            && sent == counts.first + counts.extra()
+    }
+
+    fn every_call_ends_by_its_reply_or_a_cancel(seed: u64) -> bool {
+        let (world, _) = run(seed);
+        let replicas = world.plan.replicas.iter();
+        let later = world.later.iter().flat_map(|plan| &plan.replicas);
+        replicas.chain(later).all(|replica| replica.stats.outstanding() == 0)
+    }
+
+    fn the_order_of_replies_changes_nothing(seed: u64) -> bool {
+        let (shards, replicas) = size(seed);
+        let ids = |seed| {
+            let mut world = world::World::new(seed, shards, replicas, world::NONE);
+            let setup = world.setup(1 << 20);
+            world.run(setup);
+            let hits = world.answers.remove(0).hits;
+            hits.into_iter().map(|hit| hit.id).collect::<Vec<_>>()
+        };
+        ids(seed) == ids(seed.wrapping_add(1))
+    }
+}
--- a/crates/standin/src/upstream/routes.rs
+++ b/crates/standin/src/upstream/routes.rs
@@ -82,12 +82,25 @@
         }
     }
 
+    /// Every reply names the call that it answers, refusals too: one that
+    /// names none is no proof that a record was not run.
     async fn admit(
         &self,
         request: serve::Request,
         shard: ids::Shard,
         record: bool,
     ) -> serve::Reply {
+        let id: Option<String> = serve::header(&request, contract::REQUEST_ID);
+        let mut reply = self.take(request, shard, record).await;
+        if let (serve::Reply::Answer(response), Some(id)) = (&mut reply, id)
+            && !response.headers().contains_key(contract::REQUEST_ID)
+        {
+            serve::set(response, contract::REQUEST_ID, id);
+        }
+        reply
+    }
+
+    async fn take(&self, request: serve::Request, shard: ids::Shard, record: bool) -> serve::Reply {
         let faults = self.state.faults();
         if faults.draining {
             self.state.count(|counts| {
@@ -260,13 +273,17 @@
 
     async fn answer(&self, connection: &Connection, request: serve::Request) -> serve::Reply {
         let control = request.uri().path().starts_with("/control/");
+        let id: Option<String> = serve::header(&request, contract::REQUEST_ID);
         if !control && self.state.is_silent(connection.opened) {
             return serve::Reply::Silence;
         }
-        let reply = tokio::select! {
+        let mut reply = tokio::select! {
             reply = self.dispatch(request) => reply,
             () = self.life.cancelled() => serve::Reply::Close,
         };
+        if let (serve::Reply::Answer(response), Some(id)) = (&mut reply, id) {
+            echo(response, id);
+        }
         if !control && self.state.is_silent(connection.opened) {
             return serve::Reply::Silence;
         }
@@ -359,6 +376,13 @@
     serve::Reply::Answer(serve::json(status, &serde_json::json!({ "error": error })))
 }
 
+/// Names the call in every reply, refusals too; a crossed reply keeps its own.
+fn echo(response: &mut serve::Response, id: String) {
+    if !response.headers().contains_key(contract::REQUEST_ID) {
+        serve::set(response, contract::REQUEST_ID, id);
+    }
+}
+
 fn not_found(path: &str) -> serve::Reply {
     serve::Reply::Answer(serve::text(404, format!("no such path: {path}")))
 }
