--- a/crates/standin/src/measure/searches.rs
+++ b/crates/standin/src/measure/searches.rs
@@ -135,7 +135,7 @@
 ) -> outcome::Outcome {
     let mut tally = tally::Tally::default();
     for search in searches {
-        tally.add(service, &search.query, &search.sample);
+        tally.add(&service.layout, &search.query, &search.sample);
     }
     let mut out = tally.outcome(arrived);
     out.figure("whole_share", whole(searches));
