--- a/crates/geraniumgauge/src/home/state/standing.rs
+++ b/crates/geraniumgauge/src/home/state/standing.rs
@@ -66,6 +66,11 @@
         self.stand
     }
 
+    /// Whether a call sent at `since` or later has succeeded.
+    pub(super) fn worked_since(&self, since: Moment) -> bool {
+        self.success_sent.is_some_and(|sent| sent >= since)
+    }
+
     pub(super) fn is_down(&self) -> bool {
         self.stand == Stand::Down
     }
@@ -92,7 +97,7 @@
     /// A call that was sent at `sent` succeeded.
     pub(super) fn succeeded(&mut self, sent: Moment, now: Moment) {
         self.success_sent = self.success_sent.max(Some(sent));
-        let stale = matches!(self.stand, Stand::Draining | Stand::Down) && sent < self.since;
+        let stale = matches!(self.stand, Stand::Draining | Stand::Down) && sent <= self.since;
         if stale {
             return;
         }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,6 +6,7 @@
 use std::process;
 
 use geraniumgauge_standin::demo;
+use geraniumgauge_standin::drive;
 use geraniumgauge_standin::measure;
 use geraniumgauge_standin::platform;
 use geraniumgauge_standin::site;
@@ -21,6 +22,7 @@
             return USAGE.into();
         }
     };
+    logs();
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -33,6 +35,16 @@
     code
 }
 
+/// Warnings go to standard error. Set up before rocket, which would install a
+/// logger of its own.
+fn logs() {
+    let warnings = fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("rocket", log::LevelFilter::Error)
+        .chain(std::io::stderr());
+    let _ = warnings.apply();
+}
+
 async fn obey(order: args::Order) -> process::ExitCode {
     match order {
         args::Order::Help => {
@@ -65,6 +77,17 @@
                 Err(error) => fail(&error),
             }
         }
+        args::Order::Load(config) => match drive::run(&config).await {
+            Ok(report) => {
+                print!("{report}");
+                if report.is_sound() {
+                    process::ExitCode::SUCCESS
+                } else {
+                    process::ExitCode::FAILURE
+                }
+            }
+            Err(error) => fail(&error),
+        },
         args::Order::Demo => match demo::run().await {
             Ok(()) => process::ExitCode::SUCCESS,
             Err(error) => fail(&error),
