Scenarios crossed, versions and crash-query; no hedge into a queue

Under twice the capacity 4 in 100 calls were hedges, each taking another call's slot. Change: the scenarios; a hedge is left out where the replica's calls wait longer than half a typical call.

--- a/crates/geraniumgauge/src/query/gather/calls.rs
+++ b/crates/geraniumgauge/src/query/gather/calls.rs
@@ -220,6 +220,9 @@
         let Some(place) = self.hedge_place(slot, replica, now) else {
             return;
         };
+        if self.queues(slot, place, now) {
+            return;
+        }
         if !self.fleet.hedge() {
             self.counts.hedges_refused += 1;
             let again = now + self.setup.hedge_after.max(LEAST_HEDGE);
@@ -271,6 +274,15 @@
         left <= self.few() || waited >= self.setup.hedge_after * LONG
     }
 
+    /// Whether calls to the replica wait longer for a slot than a good part of
+    /// a call. Under such load a slow call isn't a straggler but one of many
+    /// that wait, and its hedge would take another's slot.
+    fn queues(&self, slot: u32, place: usize, now: clock::Moment) -> bool {
+        let shard = self.plan.shard(self.slots[slot as usize].shard);
+        let wait = self.stats(shard, place).wait(now);
+        wait > self.setup.typical / LONG_WAIT
+    }
+
     /// Another replica than those that run the call now, else the same one,
     /// which the other home calls on another connection.
     fn hedge_place(&mut self, slot: u32, replica: u32, now: clock::Moment) -> Option<usize> {
@@ -337,6 +349,8 @@
 /// Hedge points after which a call is hedged however many are left: a home that
 /// went silent holds more calls than a few.
 const LONG: u32 = 3;
+/// A replica's queue is long from one part in this of a typical call on.
+const LONG_WAIT: u32 = 2;
 /// Replicas of one shard that are told apart; more are not called.
 const MOST_REPLICAS: usize = 64;
 
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -7,6 +7,8 @@
 pub mod tally;
 
 mod cold_start;
+mod crash_query;
+mod crossed;
 mod drain;
 mod fanout;
 mod overload;
@@ -16,6 +18,7 @@
 mod shed;
 mod silent;
 mod straggler;
+mod versions;
 
 pub use report::Report;
 
@@ -78,6 +81,9 @@
     drain::SCENARIO,
     replica_loss::SCENARIO,
     silent::SCENARIO,
+    crossed::SCENARIO,
+    versions::SCENARIO,
+    crash_query::SCENARIO,
 ];
 
 /// The scenario of that name.
