--- a/crates/geraniumgauge/src/quarantine/book.rs
+++ b/crates/geraniumgauge/src/quarantine/book.rs
@@ -19,6 +19,8 @@
 pub const LATELY: time::Duration = time::Duration::from_secs(60);
 /// Losses within this span belong together.
 pub const INCIDENT: time::Duration = time::Duration::from_secs(1);
+/// No trial starts within this span of another upstream's loss.
+pub const CALM: time::Duration = time::Duration::from_millis(300);
 /// This many upstreams lost in one incident are a failure of the place.
 pub const PLACE: usize = 3;
 /// No trial starts before a suspicion is this old: by then every VM has heard
@@ -126,7 +128,11 @@
                 service,
                 fingerprint,
             } => self.completed((service, fingerprint), now),
-            Event::Heard(mark) => self.heard(mark, now),
+            Event::Heard(mark) => {
+                let mut actions = self.heard(mark, now);
+                actions.extend(self.excuse(now));
+                actions
+            }
         }
     }
 
@@ -170,7 +176,7 @@
         }
         let others = self.losses.iter().filter(|(_, up)| !mark.names(up));
         let last = others.map(|(at, _)| *at).max();
-        match last.map(|at| now.moment.until(at + INCIDENT)) {
+        match last.map(|at| now.moment.until(at + CALM)) {
             Some(left) if left > time::Duration::ZERO => Err(left),
             _ => Ok(()),
         }
@@ -243,6 +249,15 @@
         plain && self.distinct(|_| true) >= PLACE && self.completed.has(key, now.moment)
     }
 
+    /// Excuses what was marked before the failure of the place was seen: the
+    /// other upstreams' losses are heard of one by one.
+    fn excuse(&mut self, now: Now) -> Vec<Action> {
+        let marks = self.marks.iter();
+        let excused = marks.filter(|(key, mark)| self.excused(key, mark, now));
+        let keys: Vec<Key> = excused.map(|(key, _)| key.clone()).collect();
+        keys.iter().flat_map(|key| self.clear(key, now)).collect()
+    }
+
     /// Whether upstreams that this mark doesn't name went down with its own.
     fn place(&self, mark: &quarantine::Mark) -> bool {
         self.distinct(|upstream| !mark.names(upstream)) + 1 >= PLACE
--- a/crates/geraniumgauge/src/quarantine/tests.rs
+++ b/crates/geraniumgauge/src/quarantine/tests.rs
@@ -1,3 +1,4 @@
 mod book;
+mod direct;
 mod fleet;
 mod service;
--- a/crates/geraniumgauge/src/quarantine/tests/book.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/book.rs
@@ -91,6 +91,23 @@
     assert_eq!(verdict(&book, QUERY, at(1000)), Verdict::Clear);
 }
 
+/// The losses of a rack are seen by several VMs, one each. A query that was
+/// blamed before the others' marks came would stay suspect.
+#[test]
+fn a_rack_heard_of_later_excuses_too() {
+    let mut here = book::Book::default();
+    let mut there = book::Book::default();
+    here.handle(completed(QUERY), at(0));
+    here.handle(lost(QUERY, "a", book::Run::Plain), at(1000));
+    assert_eq!(verdict(&here, QUERY, at(1000)), Verdict::Suspect);
+    for (query, upstream) in [(8, "b"), (9, "c")] {
+        let query = ids::Fingerprint(query);
+        let mark = published(there.handle(lost(query, upstream, book::Run::Plain), at(1001)));
+        here.handle(book::Event::Heard(mark), at(1005));
+    }
+    assert_eq!(verdict(&here, QUERY, at(1005)), Verdict::Clear);
+}
+
 /// While a rack goes down a trial would be lost with it and prove nothing.
 #[test]
 fn no_trial_starts_while_upstreams_go_down() {
--- /dev/null
+++ b/crates/geraniumgauge/src/quarantine/tests/direct.rs
@@ -0,0 +1,77 @@
+//! Marks sent directly.
+
+use std::collections;
+use std::sync;
+
+use tokio::sync::watch;
+
+use crate::ids;
+use crate::member;
+use crate::mesh;
+use crate::mesh::message;
+use crate::quarantine;
+use crate::quarantine::Spread as _;
+
+#[derive(Default)]
+struct Sent(sync::Mutex<Vec<(ids::Vm, message::Mark)>>);
+
+impl mesh::Post for Sent {
+    fn send(&self, to: &ids::Vm, body: message::Body) -> Result<(), mesh::Error> {
+        if let message::Body::Mark(mark) = body {
+            self.0.lock().unwrap().push((to.clone(), mark));
+        }
+        Ok(())
+    }
+}
+
+struct Gossip;
+
+impl quarantine::Spread for Gossip {
+    fn publish(&self, _: member::Rumour) {}
+}
+
+fn vm(number: usize) -> ids::Vm {
+    format!("vm-{number:04}").parse().unwrap()
+}
+
+fn direct(local: usize, count: usize, sent: &sync::Arc<Sent>) -> quarantine::Direct {
+    let member = |number| member::Member {
+        vm: vm(number),
+        incarnation: ids::Incarnation(1),
+        data_centre: "dc".parse().unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        state: member::State::Alive,
+    };
+    let view = member::View::new(vm(local), (0..count).map(member).collect());
+    let (_, view) = watch::channel(sync::Arc::new(view));
+    quarantine::Direct {
+        gossip: sync::Arc::new(Gossip),
+        post: sync::Arc::<Sent>::clone(sent),
+        view,
+    }
+}
+
+/// A query crashes an upstream and is sent again a few milliseconds later at
+/// any of 2,200 VMs. Rumours take seconds; each VM must hear it in two frames.
+#[test]
+fn every_member_hears_a_mark_in_two_frames_at_most() {
+    for count in [1, 8, 48, 49, 500, 2200] {
+        let sent = sync::Arc::<Sent>::default();
+        direct(3 % count, count, &sent).publish(member::Rumour {
+            topic: member::Topic::Mark,
+            key: "port/7".to_owned(),
+            version: 1,
+            body: bytes::Bytes::new(),
+        });
+        let first: Vec<_> = std::mem::take(&mut *sent.0.lock().unwrap());
+        assert!(first.len() <= 50, "{} frames from one VM", first.len());
+        for (to, mark) in &first {
+            let number: usize = to.as_str()[3..].parse().unwrap();
+            direct(number, count, &sent).relay(mark);
+        }
+        let second = sent.0.lock().unwrap();
+        let all = first.iter().chain(second.iter()).map(|(to, _)| to.clone());
+        let heard: collections::BTreeSet<_> = all.chain([vm(3 % count)]).collect();
+        assert_eq!(heard.len(), count);
+    }
+}
--- a/crates/geraniumgauge/src/query/mod.rs
+++ b/crates/geraniumgauge/src/query/mod.rs
@@ -34,3 +34,10 @@
 
 /// What holds for most requests.
 pub(crate) const CLEAR: crate::quarantine::Verdict = crate::quarantine::Verdict::Clear;
+
+#[cfg(test)]
+#[path = "tests/admission.rs"]
+mod admission_tests;
+#[cfg(test)]
+#[path = "tests/service.rs"]
+mod tests;
--- a/crates/standin/src/measure/crash_query.rs
+++ b/crates/standin/src/measure/crash_query.rs
@@ -37,6 +37,8 @@
 /// How often its caller sends it again, at every VM.
 const RESENDS: u32 = 16;
 const BETWEEN: time::Duration = time::Duration::from_millis(100);
+/// Searches of each kind that the canary's cost is taken from.
+const COST_SENDS: usize = 60;
 const RESTART_MS: u64 = 1500;
 /// When the lost upstreams are back and known to be.
 const BACK: time::Duration = time::Duration::from_millis(6500);
@@ -73,6 +75,8 @@
         seed: context.seed,
     };
     searches::send(&site, SERVICE, load).await?;
+    let mut out = outcome::Outcome::default();
+    canary_cost(&site, &mut out).await?;
     let load = searches::Load {
         span: SPAN,
         seed: context.seed + 1,
@@ -81,7 +85,6 @@
     let crashing = crash(&site);
     let (found, answered) = tokio::join!(searches::send(&site, SERVICE, load), crashing);
     let (found, answered) = (found?, answered?);
-    let mut out = outcome::Outcome::default();
     lost(service, &mut out);
     out.figure("crash_query_answers", answered as f64);
     out.figure("others_whole_share", searches::whole(&found));
@@ -90,6 +93,46 @@
     Ok(out)
 }
 
+/// What a canary costs: searches that are new to their VM beside ones that
+/// every VM knows, one after another on a quiet site.
+async fn canary_cost(site: &site::Site, out: &mut outcome::Outcome) -> Result<(), measure::Error> {
+    let service = site.service(SERVICE);
+    let caller = load::Caller::new(site)?;
+    let before = service.counts().arrived();
+    let mut new = Vec::new();
+    for number in 0..COST_SENDS {
+        let query = serde_json::json!({ "text": format!("new {number}") });
+        new.push(
+            caller
+                .search(service.id(), &query, searches::DEADLINE)
+                .await
+                .took,
+        );
+    }
+    let calls = (service.counts().arrived() - before) as f64;
+    let due = (COST_SENDS * service.layout.shards.len()) as f64;
+    out.figure("canary_extra_load_share", calls / due - 1.0);
+    let mut known = Vec::new();
+    let query = serde_json::json!({ "text": "known" });
+    for _ in 0..COST_SENDS * 2 {
+        known.push(
+            caller
+                .search(service.id(), &query, searches::DEADLINE)
+                .await
+                .took,
+        );
+    }
+    out.figure("new_p50_ms", median(&mut new));
+    out.figure("known_p50_ms", median(&mut known.split_off(COST_SENDS)));
+    Ok(())
+}
+
+fn median(spans: &mut [time::Duration]) -> f64 {
+    spans.sort_unstable();
+    let middle = spans.get(spans.len() / 2).copied();
+    middle.unwrap_or_default().as_secs_f64() * 1e3
+}
+
 /// Sends the query to every VM at once, time after time; how many answers came.
 async fn crash(site: &site::Site) -> Result<usize, measure::Error> {
     tokio::time::sleep(BEGIN).await;
