Replicas that fail often are left; a trial waits for siblings to come back

Change: the share of failed calls weighs in the choice and fades over 4 s; a trial without a place looks again each 100 ms; an upstream that answered after its loss counts as up again; only 1 refused call in 8 (before 1 in 50) cuts the searches let in.

--- a/crates/geraniumgauge/src/quarantine/book.rs
+++ b/crates/geraniumgauge/src/quarantine/book.rs
@@ -83,6 +83,15 @@
     pub wall: clock::Wall,
 }
 
+/// An upstream that was lost a while ago.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Down {
+    /// The upstream.
+    pub upstream: ids::Upstream,
+    /// When it was lost.
+    pub lost: clock::Moment,
+}
+
 type Key = (ids::Service, ids::Fingerprint);
 
 /// What this VM holds of every request that may crash upstreams.
@@ -182,12 +191,23 @@
         }
     }
 
-    /// Upstreams that a mark names and that may still be down.
-    pub fn down(&self, now: Now) -> Vec<ids::Upstream> {
-        let fresh = |mark: &&quarantine::Mark| now.wall.since(mark.since) < DOWN_FOR;
-        let marks = self.marks.values().filter(fresh);
-        let named = marks.flat_map(|mark| mark.crashed.iter().chain(&mark.lost));
-        named.cloned().collect()
+    /// Upstreams that a mark names and that may still be down, with the time of
+    /// the loss.
+    pub fn down(&self, now: Now) -> Vec<Down> {
+        let mut down = Vec::new();
+        for mark in self.marks.values() {
+            let age = now.wall.since(mark.since);
+            if age >= DOWN_FOR {
+                continue;
+            }
+            let lost = now.moment.0.saturating_sub(clock::micros(age));
+            let named = mark.crashed.iter().chain(&mark.lost);
+            down.extend(named.map(|upstream| Down {
+                upstream: upstream.clone(),
+                lost: clock::Moment(lost),
+            }));
+        }
+        down
     }
 
     /// Every mark that holds, clearances left out.
--- a/crates/geraniumgauge/src/quarantine/service.rs
+++ b/crates/geraniumgauge/src/quarantine/service.rs
@@ -114,7 +114,7 @@
     }
 
     /// Upstreams that may be down after a crash that some VM saw.
-    pub fn down(&self) -> Vec<ids::Upstream> {
+    pub fn down(&self) -> Vec<book::Down> {
         self.book().down(self.now())
     }
 
--- a/crates/geraniumgauge/src/query/gather/event.rs
+++ b/crates/geraniumgauge/src/query/gather/event.rs
@@ -89,8 +89,8 @@
     Verdict(quarantine::Verdict),
     /// The answer to [`Action::Replan`]; `None` where the service has ended.
     Plan(Option<sync::Arc<plan::Plan>>),
-    /// The lone trial may run; these upstreams are believed down by others.
-    Granted(Vec<ids::Upstream>),
+    /// The lone trial may run; these upstreams were lost by what marks say.
+    Granted(Vec<book::Down>),
     /// It may not; ask again after the time given, if one is given.
     Denied(Option<time::Duration>),
     /// Time has passed.
--- a/crates/geraniumgauge/src/query/gather/fail.rs
+++ b/crates/geraniumgauge/src/query/gather/fail.rs
@@ -95,7 +95,7 @@
         let called = &self.attempts[attempt as usize];
         let (number, kind, span) = (called.slot, called.kind, now.since(called.sent));
         let upstream = self.plan.replica(called.replica);
-        upstream.stats.good();
+        upstream.stats.good(now);
         upstream.stats.took(span, now);
         let upstream = upstream.id.clone();
         self.spans.push(span);
--- a/crates/geraniumgauge/src/query/gather/suspect.rs
+++ b/crates/geraniumgauge/src/query/gather/suspect.rs
@@ -13,6 +13,7 @@
 use crate::mesh::message;
 use crate::mesh::message::Outcome;
 use crate::quarantine::Verdict;
+use crate::quarantine::book;
 use crate::quarantine::trial;
 use crate::query;
 use crate::time as clock;
@@ -21,6 +22,8 @@
 const MOST_ASKS: u32 = 8;
 /// When to ask again after a trial that wasn't run.
 const ASK_AGAIN: time::Duration = time::Duration::from_millis(50);
+/// When to look again for a replica whose siblings are all up.
+const NO_TARGET: time::Duration = time::Duration::from_millis(100);
 /// Typical calls that must fit before the deadline: a trial cut short by it
 /// proves nothing.
 const ROOM: u32 = 2;
@@ -106,8 +109,12 @@
             self.no_trial();
             return;
         }
-        self.trial.state = State::Asked;
         self.trial.asks += 1;
+        if self.trial_target(&[], now).is_none() {
+            self.ask_later(now + NO_TARGET);
+            return;
+        }
+        self.trial.state = State::Asked;
         self.out.actions.push(Action::AskTrial);
     }
 
@@ -155,7 +162,7 @@
         }
     }
 
-    pub(super) fn granted(&mut self, down: &[ids::Upstream], now: clock::Moment) {
+    pub(super) fn granted(&mut self, down: &[book::Down], now: clock::Moment) {
         if self.trial.state != State::Asked {
             self.end_trial(trial::End::NotRun, None);
             return;
@@ -167,7 +174,7 @@
         }
         let Some((slot, place)) = self.trial_target(down, now) else {
             self.end_trial(trial::End::NotRun, None);
-            self.no_trial();
+            self.ask_later(now + NO_TARGET);
             return;
         };
         self.trial.state = State::Running;
@@ -176,7 +183,7 @@
 
     /// A replica whose siblings are all up, so that no shard is left without
     /// any where it crashes; of a shard that isn't covered yet, if there is one.
-    fn trial_target(&self, down: &[ids::Upstream], now: clock::Moment) -> Option<(u32, usize)> {
+    fn trial_target(&self, down: &[book::Down], now: clock::Moment) -> Option<(u32, usize)> {
         let mut second = None;
         for (slot, held) in self.slots.iter().enumerate() {
             let shard = self.plan.shard(held.shard);
@@ -201,9 +208,11 @@
         offers && !stats.avoided(now)
     }
 
-    pub(super) fn siblings_up(&self, replica: u32, down: &[ids::Upstream]) -> bool {
+    pub(super) fn siblings_up(&self, replica: u32, down: &[book::Down]) -> bool {
         let up = |upstream: &query::plan::Replica| {
-            !upstream.stats.down() && !down.contains(&upstream.id)
+            let answered = upstream.stats.answered();
+            let mut lost = down.iter().filter(|down| down.upstream == upstream.id);
+            !upstream.stats.down() && lost.all(|down| answered > down.lost)
         };
         let shards = &self.plan.replica(replica).shards;
         let mut siblings = shards
--- a/crates/geraniumgauge/src/query/gather/tests/failures.rs
+++ b/crates/geraniumgauge/src/query/gather/tests/failures.rs
@@ -6,6 +6,7 @@
 use crate::ids;
 use crate::mesh::message;
 use crate::quarantine;
+use crate::quarantine::book;
 use crate::query;
 use crate::query::fleet;
 use crate::query::gather;
@@ -244,7 +245,10 @@
         search.handle(start, now).as_slice(),
         [gather::Action::AskTrial]
     ));
-    let down = vec!["u-0-0".parse().unwrap()];
+    let down = vec![book::Down {
+        upstream: "u-0-0".parse().unwrap(),
+        lost: now,
+    }];
     let (vm, calls) = sends(&search.handle(gather::Event::Granted(down), now)).remove(0);
     assert_eq!(calls.len(), 1);
     assert_eq!(calls[0].kind(), message::Kind::Trial);
--- a/crates/geraniumgauge/src/query/mod.rs
+++ b/crates/geraniumgauge/src/query/mod.rs
@@ -39,5 +39,8 @@
 #[path = "tests/admission.rs"]
 mod admission_tests;
 #[cfg(test)]
+#[path = "tests/replica.rs"]
+mod replica_tests;
+#[cfg(test)]
 #[path = "tests/service.rs"]
 mod tests;
--- a/crates/geraniumgauge/src/query/replica.rs
+++ b/crates/geraniumgauge/src/query/replica.rs
@@ -32,6 +32,12 @@
 const SHED_FOR: time::Duration = time::Duration::from_millis(20);
 /// How long a replica is left alone whose connection stayed silent.
 const SILENT_FOR: time::Duration = time::Duration::from_millis(200);
+/// How long a share of failed calls counts against a replica.
+const FAILED_FOR: time::Duration = time::Duration::from_secs(4);
+/// How many times as costly a replica counts of which every call fails.
+const PENALTY: u64 = 16;
+/// A share of one.
+const WHOLE: u64 = 1_000_000;
 /// One sample's weight in the mean call time: one part in this.
 const WEIGHT: u64 = 8;
 /// A sample counts for at most this many times the mean: a single straggler is
@@ -49,6 +55,10 @@
     timed: atomic::AtomicU64,
     wait: atomic::AtomicU64,
     avoid: atomic::AtomicU64,
+    /// Mean share of calls that failed, in millionths, and when one last did.
+    fails: atomic::AtomicU64,
+    failed: atomic::AtomicU64,
+    answered: atomic::AtomicU64,
     downs: atomic::AtomicU32,
 }
 
@@ -95,7 +105,21 @@
         } else {
             clock::micros(typical)
         };
-        u64::from(self.outstanding() + 1) * took.max(1)
+        u64::from(self.outstanding() + 1) * took.max(1) * self.penalty(now)
+    }
+
+    /// How many times as costly its calls count for the share that fails. It
+    /// fades with time, or a replica once left would never be tried again.
+    fn penalty(&self, now: clock::Moment) -> u64 {
+        let age = now.since(clock::Moment(self.failed.load(ORDER)));
+        let left = FAILED_FOR.saturating_sub(age).as_micros() as u64;
+        let share = self.fails.load(ORDER) * left / clock::micros(FAILED_FOR);
+        1 + PENALTY * share / WHOLE
+    }
+
+    /// When it last answered.
+    pub fn answered(&self) -> clock::Moment {
+        clock::Moment(self.answered.load(ORDER))
     }
 
     /// Mean time that calls waited at the home, while it is fresh.
@@ -151,7 +175,11 @@
     }
 
     /// It answered.
-    pub fn good(&self) {
+    pub fn good(&self, now: clock::Moment) {
+        self.answered.store(now.0, ORDER);
+        if self.fails.load(ORDER) > 0 {
+            blend(&self.fails, 0);
+        }
         if self.downs.load(ORDER) > 0 {
             self.downs.store(0, ORDER);
             self.avoid.store(0, ORDER);
@@ -169,18 +197,25 @@
             Outcome::Draining => DRAIN_FOR,
             Outcome::Shed | Outcome::Late => retry_after.max(SHED_FOR),
             Outcome::Silent => SILENT_FOR,
+            Outcome::Crossed | Outcome::Failed => time::Duration::ZERO,
             _ => return,
         };
+        blend(&self.fails, WHOLE);
+        self.failed.store(now.0, ORDER);
         self.avoid.fetch_max((now + span).0, ORDER);
     }
 }
 
+/// As [`blend`], but the first sample counts whole.
 fn mean(held: &atomic::AtomicU64, sample: u64) {
-    let before = held.load(ORDER);
-    let after = if before == 0 {
-        sample
+    if held.load(ORDER) == 0 {
+        held.store(sample, ORDER);
     } else {
-        (before * (WEIGHT - 1) + sample) / WEIGHT
-    };
-    held.store(after, ORDER);
+        blend(held, sample);
+    }
+}
+
+fn blend(held: &atomic::AtomicU64, sample: u64) {
+    let before = held.load(ORDER);
+    held.store((before * (WEIGHT - 1) + sample) / WEIGHT, ORDER);
 }
--- a/crates/geraniumgauge/src/query/task.rs
+++ b/crates/geraniumgauge/src/query/task.rs
@@ -25,7 +25,7 @@
 const LONG_WAIT: u32 = 3;
 /// Share of calls refused for load from which the entry lets fewer searches in:
 /// one part in this.
-const MANY_REFUSED: u64 = 50;
+const MANY_REFUSED: u64 = 8;
 
 /// What a search is told from outside.
 pub(super) enum Input {
