--- a/crates/geraniumgauge/src/home/placement.rs
+++ b/crates/geraniumgauge/src/home/placement.rs
@@ -109,6 +109,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Cache {
     known: sync::Arc<sync::Mutex<Known>>,
+    direct: bool,
 }
 
 #[derive(Debug, Default)]
@@ -141,6 +142,16 @@
 }
 
 impl Cache {
+    /// A cache by which every VM is the one home of every upstream: it calls
+    /// them itself and shares no knowledge of their slots with the others. Only
+    /// a baseline to measure homes against.
+    pub fn direct() -> Self {
+        Self {
+            direct: true,
+            ..Self::default()
+        }
+    }
+
     /// As [`Homes::of`].
     pub fn of(
         &self,
@@ -148,6 +159,12 @@
         upstream: &layout::Upstream,
         service: &ids::Service,
     ) -> Homes {
+        if self.direct {
+            return Homes {
+                primary: view.local.clone(),
+                standby: None,
+            };
+        }
         let mut known = self.known(view);
         let homes = known.homes.entry(place(upstream, service));
         homes
@@ -163,6 +180,9 @@
         service: &ids::Service,
         vm: &ids::Vm,
     ) -> Option<Role> {
+        if self.direct {
+            return Some(Role::Primary);
+        }
         let mut known = self.known(view);
         let known = known.roles.entry(place(upstream, service));
         *known.or_insert_with(|| role(view, upstream, service, vm))
--- a/crates/geraniumgauge/src/home/service.rs
+++ b/crates/geraniumgauge/src/home/service.rs
@@ -34,6 +34,8 @@
     pub vm: ids::Vm,
     /// Where it runs.
     pub data_centre: ids::DataCentre,
+    /// Every VM calls every upstream itself: a baseline for measurements.
+    pub direct: bool,
 }
 
 /// The homes of this VM; clones share them.
@@ -76,11 +78,15 @@
             instruments: instruments::Instruments::new(meter),
             calls: worker::Calls::default(),
         };
+        let placement = match config.direct {
+            true => placement::Cache::direct(),
+            false => placement::Cache::default(),
+        };
         let inner = sync::Arc::new(Inner {
             config,
             catalog,
             view,
-            placement: placement::Cache::default(),
+            placement,
             means: sync::Arc::new(means),
             workers: sync::RwLock::default(),
             retired: sync::Mutex::default(),
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -101,6 +101,10 @@
         meter: &metrics::Meter,
     ) -> Self {
         let changes = book.changes();
+        let homes = match config.policy {
+            Policy::Direct => placement::Cache::direct(),
+            Policy::Full | Policy::NoHedge => placement::Cache::default(),
+        };
         let inner = Inner {
             config,
             post,
@@ -112,7 +116,7 @@
             catalog,
             view,
             desks: sync::RwLock::default(),
-            homes: placement::Cache::default(),
+            homes,
             links: links::Links::default(),
             numbers: atomic::AtomicU64::new(1),
             running: atomic::AtomicUsize::new(0),
--- a/crates/geraniumgauge/src/vm/wiring.rs
+++ b/crates/geraniumgauge/src/vm/wiring.rs
@@ -162,7 +162,11 @@
     fn home(&self, member: &member::Service, post: &sync::Arc<dyn mesh::Post>) -> home::Service {
         let (vm, data_centre) = (self.config.vm.clone(), self.config.data_centre.clone());
         home::Service::start(
-            home::Config { vm, data_centre },
+            home::Config {
+                vm,
+                data_centre,
+                direct: self.config.policy == query::Policy::Direct,
+            },
             self.catalog.clone(),
             member.view(),
             sync::Arc::clone(post),
