--- a/crates/standin/tests/home.rs
+++ b/crates/standin/tests/home.rs
@@ -94,6 +94,7 @@
         home::Config {
             vm: vm.clone(),
             data_centre,
+            direct: false,
         },
         catalog,
         view,
