Silent connections are found sooner

Cause: at a silence of all connections a hedge went on a connection that had answered within 50 ms, just as silent; a report waited 100 ms for a silent control connection; a suspect was cut only after eight times the slow time. Change: hedges and retries need a connection that answered within the slow time; the control connection has 25 ms; a suspect is cut after four times the slow time, 10 ms at least until it is suspect.

--- a/crates/geraniumgauge/src/home/state/dispatch.rs
+++ b/crates/geraniumgauge/src/home/state/dispatch.rs
@@ -10,8 +10,9 @@
 use crate::mesh::message;
 use crate::time::Moment;
 
-/// A hedge or retry goes on a connection that has answered within this time,
-/// else on a new one: what held the first attempt up may hold it up as well.
+/// A hedge or retry goes on a connection that has answered within the slow
+/// time and within this time, else on a new one: what held the first attempt up
+/// may hold it up as well, and that was sent about the slow time ago.
 const PROVEN: time::Duration = time::Duration::from_millis(50);
 /// How long no call is sent beside suspects after the upstream has shed one.
 const BESIDE_PAUSE: time::Duration = time::Duration::from_millis(100);
@@ -173,7 +174,8 @@
         let suspected = self.lines.suspected_since().unwrap_or_default();
         match job.kind {
             message::Kind::Hedge | message::Kind::Retry => {
-                let proven = Moment(now.0.saturating_sub(crate::time::micros(PROVEN)));
+                let within = self.times.slow().unwrap_or(PROVEN).min(PROVEN);
+                let proven = Moment(now.0.saturating_sub(crate::time::micros(within)));
                 suspected.max(proven)
             }
             _ => suspected,
--- a/crates/geraniumgauge/src/home/state/running.rs
+++ b/crates/geraniumgauge/src/home/state/running.rs
@@ -14,9 +14,9 @@
 /// A call is suspect after this many times the time that few calls exceed.
 const SUSPECT_FACTOR: u32 = 2;
 /// A suspect is cut after this many times that again.
-const CUT_FACTOR: u32 = 4;
+const CUT_FACTOR: u32 = 2;
 /// Least time until a call is suspect.
-const SUSPECT_LEAST: time::Duration = time::Duration::from_millis(20);
+const SUSPECT_LEAST: time::Duration = time::Duration::from_millis(10);
 /// Time until a call is suspect, while healthy times aren't known.
 const SUSPECT_UNKNOWN: time::Duration = time::Duration::from_millis(200);
 /// How long the upstream may take to end a call that it was asked to stop.
--- a/crates/geraniumgauge/src/home/worker.rs
+++ b/crates/geraniumgauge/src/home/worker.rs
@@ -18,7 +18,7 @@
 
 /// How long the control connection may take for an answer before a new one is
 /// opened in its place.
-const CONTROL_LIMIT: time::Duration = time::Duration::from_millis(100);
+const CONTROL_LIMIT: time::Duration = time::Duration::from_millis(25);
 /// How long the new one may take.
 const FRESH_LIMIT: time::Duration = time::Duration::from_millis(500);
 
