--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -4,9 +4,12 @@
 pub mod check;
 pub mod load;
 pub mod outcome;
+pub mod records;
 pub mod tally;
 
 mod fanout;
+mod outage;
+mod registrations;
 mod report;
 mod straggler;
 
@@ -62,7 +65,12 @@
 }
 
 /// All scenarios, in the order in which `all` runs them.
-pub const SCENARIOS: &[Scenario] = &[straggler::SCENARIO, fanout::SCENARIO];
+pub const SCENARIOS: &[Scenario] = &[
+    straggler::SCENARIO,
+    fanout::SCENARIO,
+    registrations::SCENARIO,
+    outage::SCENARIO,
+];
 
 /// The scenario of that name.
 pub fn find(name: &str) -> Option<Scenario> {
--- /dev/null
+++ b/crates/standin/src/measure/outage.rs
@@ -0,0 +1,113 @@
+//! The store is down and then slow: registrations are refused, searches go on.
+
+use std::time;
+
+use crate::measure;
+use crate::measure::load;
+use crate::measure::records;
+use crate::measure::straggler;
+use crate::site;
+
+/// The scenario.
+pub(super) const SCENARIO: measure::Scenario = measure::Scenario {
+    name: "store-outage",
+    about: "the store is down, then slow, then back; searches and registrations go on",
+    baseline: None,
+    run: |context| Box::pin(run(context)),
+};
+
+const SERVICE: &str = "landing-intake";
+const SHARDS: usize = 8;
+const SPAN: time::Duration = time::Duration::from_secs(6);
+const SEARCHES: f64 = 60.0;
+const REGISTRATIONS: f64 = 40.0;
+const DEADLINE: time::Duration = time::Duration::from_millis(1000);
+/// Each call of the slow store takes this much longer.
+const SLOW_MS: u64 = 2500;
+/// A promise of the outage: refused, not held until the deadline.
+const REFUSED: &str = "the store's outage refuses registrations as not run";
+
+/// What the store does meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "lowercase")]
+enum Phase {
+    Before,
+    Down,
+    Slow,
+    After,
+}
+
+async fn run(context: measure::Context) -> Result<measure::outcome::Outcome, measure::Error> {
+    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
+    config.seed = context.seed;
+    config.policy = context.policy;
+    config.vms = 8;
+    let site = site::Site::start(config).await?;
+    let mut out = measure::outcome::Outcome::default();
+    let phases = [Phase::Before, Phase::Down, Phase::Slow, Phase::After];
+    for (number, phase) in phases.into_iter().enumerate() {
+        site.platform.state().set_faults(|faults| {
+            faults.down = phase == Phase::Down;
+            faults.slow_ms = if phase == Phase::Slow { SLOW_MS } else { 0 };
+        });
+        let seed = context.seed + 10 * number as u64;
+        out.absorb(&format!("{phase}_"), step(&site, phase, seed).await?);
+    }
+    Ok(out)
+}
+
+async fn step(
+    site: &site::Site,
+    phase: Phase,
+    seed: u64,
+) -> Result<measure::outcome::Outcome, measure::Error> {
+    let plan = records::Plan {
+        prefix: phase.to_string(),
+        rate: REGISTRATIONS,
+        span: SPAN,
+        deadline: DEADLINE,
+        doubles: 0.0,
+        tries: 1,
+    };
+    let before = site.platform.state().counts();
+    let arrived = site.service(SERVICE).counts().arrived();
+    let searches = straggler::searches(site, SERVICE, SEARCHES, SPAN, seed, DEADLINE);
+    let records = records::send(site, SERVICE, &plan, seed + 1);
+    let (searches, records) = tokio::join!(searches, records);
+    let (searches, records) = (searches?, records?);
+    let after = site.platform.state().counts();
+    let arrived = site.service(SERVICE).counts().arrived() - arrived;
+    let mut out = measure::outcome::Outcome::default();
+    out.absorb("search_", searches.outcome(arrived));
+    let mut records_out = records.outcome(site.service(SERVICE));
+    if phase == Phase::Down {
+        check_refused(&records, &mut records_out);
+    }
+    out.absorb("record_", records_out);
+    let refused = after.refused - before.refused;
+    out.figure(
+        "store_calls_refused_per_s",
+        refused as f64 / SPAN.as_secs_f64(),
+    );
+    Ok(out)
+}
+
+/// Registrations that come while the store is down from their start are told
+/// that they did not run. The first moments still finish earlier claims.
+fn check_refused(records: &records::Tally, out: &mut measure::outcome::Outcome) {
+    let refused = records
+        .samples()
+        .filter(|sample| sample.ran() == Some("no"));
+    let took: Vec<_> = refused.map(|sample| sample.took).collect();
+    let most = took.iter().max().copied().unwrap_or_default();
+    out.figure("refused_max_ms", most.as_secs_f64() * 1e3);
+    for sample in records.samples() {
+        if !sample.answered() && sample.ran() != Some("no") {
+            out.violate(REFUSED, sample.request_id(), seen(sample));
+        }
+    }
+}
+
+fn seen(sample: &load::Sample) -> String {
+    format!("{:?}", sample.reply)
+}
