--- a/crates/geraniumgauge/src/ledger/commit.rs
+++ b/crates/geraniumgauge/src/ledger/commit.rs
@@ -307,6 +307,11 @@
         if self.failures < PATIENCE {
             return;
         }
+        self.refuse(reason);
+    }
+
+    /// Refuses the claims that wait and can't be in the store.
+    pub(super) fn refuse(&mut self, reason: &str) {
         let refusable = |pending: &Pending| match pending.change {
             change::Change::Claim(..) => !pending.doubted,
             change::Change::Look(_) => true,
--- a/crates/geraniumgauge/src/ledger/key.rs
+++ b/crates/geraniumgauge/src/ledger/key.rs
@@ -11,14 +11,17 @@
 use crate::time;
 
 /// Buckets of a service. Writes to the store grow with buckets, not with
-/// claims, so there are few; two, so that a lost VM holds up half a service.
-/// Changing it needs an empty ledger: keys would be looked for elsewhere.
-pub const SLOTS: u64 = 2;
+/// claims, so there is one: 54 services that are all busy then share the store's
+/// writes by 54. One bucket's VM takes thousands of claims a second, and when it
+/// is lost, entries claim by themselves. Changing it needs an empty ledger: keys
+/// would be looked for elsewhere.
+pub const SLOTS: u64 = 1;
 
 /// Digits of the time in a `t…` key: milliseconds, until the year 2286.
 const DIGITS: usize = 13;
 
 /// The bucket of a key.
+#[expect(clippy::modulo_one, reason = "the count may be raised")]
 pub fn slot(key: &ids::Key) -> u64 {
     xxhash_rust::xxh3::xxh3_64(key.as_str().as_bytes()) % SLOTS
 }
--- a/crates/geraniumgauge/src/ledger/mod.rs
+++ b/crates/geraniumgauge/src/ledger/mod.rs
@@ -25,6 +25,7 @@
 mod standing;
 mod table;
 mod unsettled;
+mod worker;
 
 pub use book::Book;
 pub use head::MAX_RESULT;
--- a/crates/standin/src/measure/outage.rs
+++ b/crates/standin/src/measure/outage.rs
@@ -80,9 +80,7 @@
     let mut out = measure::outcome::Outcome::default();
     out.absorb("search_", searches.outcome(arrived));
     let mut records_out = records.outcome(site.service(SERVICE));
-    if phase == Phase::Down {
-        check_refused(&records, &mut records_out);
-    }
+    refusals(&records, phase, &mut records_out);
     out.absorb("record_", records_out);
     let refused = after.refused - before.refused;
     out.figure(
@@ -92,19 +90,27 @@
     Ok(out)
 }
 
-/// Registrations that come while the store is down from their start are told
-/// that they did not run. The first moments still finish earlier claims.
-fn check_refused(records: &records::Tally, out: &mut measure::outcome::Outcome) {
+/// How long refusals took; while the store is down, everything is refused as
+/// not run.
+fn refusals(records: &records::Tally, phase: Phase, out: &mut measure::outcome::Outcome) {
     let refused = records
         .samples()
         .filter(|sample| sample.ran() == Some("no"));
-    let took: Vec<_> = refused.map(|sample| sample.took).collect();
-    let most = took.iter().max().copied().unwrap_or_default();
-    out.figure("refused_max_ms", most.as_secs_f64() * 1e3);
-    for sample in records.samples() {
-        if !sample.answered() && sample.ran() != Some("no") {
-            out.violate(REFUSED, sample.request_id(), seen(sample));
-        }
+    let mut took: Vec<_> = refused.map(|sample| sample.took).collect();
+    took.sort_unstable();
+    for (name, share) in [("p50", 0.5), ("p99", 0.99), ("max", 1.0)] {
+        out.figure(
+            format!("refused_{name}_ms"),
+            records::quantile(&took, share),
+        );
+    }
+    let held = |sample: &&load::Sample| !sample.answered() && sample.ran() != Some("no");
+    for sample in records
+        .samples()
+        .filter(held)
+        .filter(|_| phase == Phase::Down)
+    {
+        out.violate(REFUSED, sample.request_id(), seen(sample));
     }
 }
 
--- a/crates/standin/src/measure/records.rs
+++ b/crates/standin/src/measure/records.rs
@@ -146,6 +146,17 @@
         if self.not_run() && !runs.is_empty() {
             out.violate(NOT_RUN, &request, format!("{} ran: {runs:?}", self.key));
         }
+        // Upstreams name a call by the request that it is for.
+        for sample in self
+            .samples
+            .iter()
+            .filter(|sample| sample.ran() == Some("no"))
+        {
+            let name = format!("{}.", sample.request_id());
+            if runs.iter().any(|run| run.request.starts_with(&name)) {
+                out.violate(NOT_RUN, sample.request_id(), format!("{} ran", self.key));
+            }
+        }
         let results: Vec<_> = self.results().collect();
         if !results.is_empty() && runs.is_empty() {
             out.violate(
@@ -261,8 +272,8 @@
     }
 }
 
-/// In milliseconds; 0 where there are none.
-fn quantile(sorted: &[time::Duration], share: f64) -> f64 {
+/// A quantile in milliseconds; 0 where there are none.
+pub(super) fn quantile(sorted: &[time::Duration], share: f64) -> f64 {
     let last = sorted.len().saturating_sub(1);
     let at = (last as f64 * share).round() as usize;
     sorted.get(at).map_or(0.0, |took| took.as_secs_f64() * 1e3)
--- a/crates/standin/src/measure/registrations.rs
+++ b/crates/standin/src/measure/registrations.rs
@@ -23,7 +23,7 @@
 const DEADLINE: time::Duration = time::Duration::from_millis(1500);
 const SPAN: time::Duration = time::Duration::from_secs(5);
 /// Registrations a second of the steps without faults.
-const RATES: [f64; 4] = [25.0, 50.0, 100.0, 200.0];
+const RATES: [f64; 5] = [25.0, 50.0, 100.0, 200.0, 400.0];
 /// Registrations a second while faults are on.
 const FAULTY_RATE: f64 = 60.0;
 const FAULTY_SPAN: time::Duration = time::Duration::from_secs(12);
