--- a/crates/geraniumgauge/src/ledger/claim.rs
+++ b/crates/geraniumgauge/src/ledger/claim.rs
@@ -24,6 +24,8 @@
 const RECORD: time::Duration = time::Duration::from_millis(100);
 /// How long after the deadline a home may still tell how a record ended.
 const LATE: time::Duration = time::Duration::from_secs(5);
+/// Longest look at the record of a key that may not run now.
+const LOOK: time::Duration = time::Duration::from_millis(300);
 /// When to come back after a refusal for the store's sake.
 const STORE_AGAIN: time::Duration = time::Duration::from_secs(1);
 /// When to ask for the end of a registration that is being run.
@@ -40,11 +42,28 @@
     trial: Option<quarantine::Trial>,
 }
 
+/// Why no claim is made.
+enum Unfit {
+    Refused(query::Refusal),
+    /// The key has a claim already.
+    Recorded(head::Entry),
+}
+
+impl From<query::Refusal> for Unfit {
+    fn from(refusal: query::Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
 impl service::Service {
     /// Claims and runs a registration of a bucket, here or for another entry.
     pub(super) async fn claim_for(&self, register: message::Register) -> entry::Told {
         let left = time::Duration::from_micros(register.time_left_us);
-        let job = self.job(register, left).await?;
+        let job = match self.job(register, left).await {
+            Ok(job) => job,
+            Err(Unfit::Refused(refusal)) => return Err(refusal),
+            Err(Unfit::Recorded(entry)) => return self.repeat(entry),
+        };
         let bucket = self.bucket(&job.service, key::slot(&job.key));
         let within = left * CLAIM_PART / 100;
         match bucket.claim(&job.key, &job.entry, within).await {
@@ -54,11 +73,7 @@
     }
 
     /// Everything that can be refused before the claim.
-    async fn job(
-        &self,
-        register: message::Register,
-        left: time::Duration,
-    ) -> Result<Job, query::Refusal> {
+    async fn job(&self, register: message::Register, left: time::Duration) -> Result<Job, Unfit> {
         let service: ids::Service = register.service.parse().map_err(unreadable)?;
         let key: ids::Key = register.key.parse().map_err(unreadable)?;
         let request: ids::Request = register.request.parse().map_err(unreadable)?;
@@ -67,7 +82,11 @@
         self.check_age(&key, &in_force)?;
         let plan = plan::Plan::new(&service, &key, &register.body, &in_force)?;
         let upstream = plan.replicas.first().ok_or_else(bare)?.clone();
-        let trial = self.inner.book.admit(&service, plan.fingerprint).await?;
+        let admitted = self.inner.book.admit(&service, plan.fingerprint).await;
+        let trial = match admitted {
+            Ok(trial) => trial,
+            Err(refusal) => return Err(self.recorded(&service, &key, refusal).await),
+        };
         self.earn(&service, in_force.document.budgets.retry);
         let config = &self.inner.config;
         let token = head::Token::new(&config.vm, config.incarnation, self.attempt());
@@ -91,6 +110,24 @@
         })
     }
 
+    /// A record that crashed its upstream may have run under this key. Refused
+    /// as not run, its caller would register it under a new key; so a claim that
+    /// there is goes first.
+    async fn recorded(
+        &self,
+        service: &ids::Service,
+        key: &ids::Key,
+        refusal: query::Refusal,
+    ) -> Unfit {
+        let bucket = self.bucket(service, key::slot(key));
+        match bucket.look(key, LOOK).await {
+            change::Verdict::Taken(entry) if entry.state != head::State::NotRun => {
+                Unfit::Recorded(entry)
+            }
+            _ => Unfit::Refused(refusal),
+        }
+    }
+
     /// Refuses timed keys that are out of their window. The bucket's own floor
     /// is what keeps them from running again; this only tells the caller early.
     fn check_age(
--- a/crates/geraniumgauge/src/ledger/tests/stories.rs
+++ b/crates/geraniumgauge/src/ledger/tests/stories.rs
@@ -236,3 +236,25 @@
     tokio::time::sleep(time::Duration::from_secs(1)).await;
     assert!(register(&world, 0, "lot", small()).await.is_ok());
 }
+
+/// Story: a label crashes its upstream after it was stored, and the processor
+/// sends it again; meanwhile it is quarantined. Told "not run", the processor
+/// would register the lot under a new key, a second time.
+#[tokio::test(start_paused = true)]
+async fn a_quarantined_repeat_is_answered_from_the_record() {
+    let world = calm(HOUR);
+    world.silent.store(true, atomic::Ordering::Relaxed);
+    register(&world, 0, "lot", small()).await.unwrap_err();
+    world.quarantined.store(true, atomic::Ordering::Relaxed);
+    let repeat = register(&world, 1, "lot", small()).await.unwrap_err();
+    assert_eq!(
+        (repeat.code, repeat.ran),
+        (query::Code::Conflict, query::Ran::Unknown)
+    );
+    let other = register(&world, 1, "lot-2", small()).await.unwrap_err();
+    assert_eq!(
+        (other.code, other.ran),
+        (query::Code::Quarantined, query::Ran::No)
+    );
+    assert_eq!(world.runs().len(), 1);
+}
--- a/crates/geraniumgauge/src/ledger/tests/world.rs
+++ b/crates/geraniumgauge/src/ledger/tests/world.rs
@@ -70,6 +70,8 @@
     pub(super) calm: atomic::AtomicBool,
     /// Upstreams run and never answer.
     pub(super) silent: atomic::AtomicBool,
+    /// Every record is held to crash upstreams.
+    pub(super) quarantined: atomic::AtomicBool,
     pub(super) catalog: document::Catalog,
     pub(super) clock: clock::Clock,
     incarnations: atomic::AtomicU64,
@@ -126,6 +128,7 @@
             faults: atomic::AtomicU64::new(0),
             calm: atomic::AtomicBool::new(false),
             silent: atomic::AtomicBool::new(false),
+            quarantined: atomic::AtomicBool::new(false),
             catalog,
             clock: clock::Clock::start_at(WALL),
             incarnations: atomic::AtomicU64::new(1),
@@ -493,6 +496,10 @@
         _service: &ids::Service,
         _fingerprint: ids::Fingerprint,
     ) -> Result<Option<quarantine::Trial>, query::Refusal> {
+        if self.world.quarantined.load(atomic::Ordering::Relaxed) {
+            let code = query::Code::Quarantined;
+            return Err(query::Refusal::not_run(code, "quarantined"));
+        }
         Ok(None)
     }
 }
