ledger: waits for the VM's budget before an update is built

Cause: with the budget spent, an update waited 27 ms for it after its body was built, and claims of these 27 ms waited for the next one: p50 14.7 ms at 25 and 58 ms at 100 claims a second. Change: store::Api::ready, a write is paid for first.

--- a/crates/geraniumgauge/src/ledger/commit.rs
+++ b/crates/geraniumgauge/src/ledger/commit.rs
@@ -125,6 +125,12 @@
         self.queue.is_empty() && self.flight.is_none()
     }
 
+    /// Whether a write is likely to come next.
+    pub(super) fn is_due(&self) -> bool {
+        let changes = |pending: &Pending| !matches!(pending.change, change::Change::Look(_));
+        self.known.is_some() && self.queue.iter().any(changes)
+    }
+
     /// Whether a write in doubt is still to be settled.
     pub(super) fn in_doubt(&self) -> bool {
         self.queue.iter().any(|pending| pending.doubted)
--- a/crates/geraniumgauge/src/ledger/worker.rs
+++ b/crates/geraniumgauge/src/ledger/worker.rs
@@ -84,6 +84,10 @@
             while let Ok(ask) = self.asks.try_recv() {
                 self.take(ask);
             }
+            if self.commit.is_due() {
+                let (store, key) = (self.parts.store.clone(), self.key.clone());
+                self.patiently(store.ready(&key)).await;
+            }
             let action = self.commit.next();
             self.deliver();
             match action {
--- a/crates/geraniumgauge/src/store/budget.rs
+++ b/crates/geraniumgauge/src/store/budget.rs
@@ -43,6 +43,8 @@
 pub(super) struct Budget {
     reads: Pair,
     writes: Pair,
+    /// Writes paid for that were not made yet.
+    prepaid: u32,
 }
 
 #[derive(Debug)]
@@ -79,11 +81,23 @@
         Self {
             reads: Pair::new(FLEET_READS, vms, now),
             writes: Pair::new(FLEET_WRITES, vms, now),
+            prepaid: 0,
         }
     }
 
+    /// Pays for one urgent write that is about to be made.
+    pub(super) fn prepay(&mut self, now: time::Moment) -> bool {
+        let paid = self.prepaid > 0 || self.writes.take(Urgency::First, now);
+        self.prepaid = self.prepaid.max(u32::from(paid));
+        paid
+    }
+
     /// Pays for one call where the budget holds it.
     pub(super) fn take(&mut self, kind: Kind, urgency: Urgency, now: time::Moment) -> bool {
+        if kind == Kind::Write && urgency == Urgency::First && self.prepaid > 0 {
+            self.prepaid -= 1;
+            return true;
+        }
         match kind {
             Kind::Read => self.reads.take(urgency, now),
             Kind::Write => self.writes.take(urgency, now),
--- a/crates/geraniumgauge/src/store/client.rs
+++ b/crates/geraniumgauge/src/store/client.rs
@@ -22,7 +22,7 @@
 /// Longest wait for the VM's own budget of calls.
 const BUDGET_WAIT: time::Duration = time::Duration::from_secs(2);
 /// How often a waiting call looks at the budget again.
-const BUDGET_STEP: time::Duration = time::Duration::from_millis(20);
+const BUDGET_STEP: time::Duration = time::Duration::from_millis(5);
 /// VMs that a budget is made for until [`Client::fleet`] says how many there are.
 const FLEET: usize = 8;
 
@@ -179,6 +179,13 @@
         done
     }
 
+    async fn ready(&self, _key: &str) {
+        let until = self.clock.now() + BUDGET_WAIT;
+        while !self.lock().prepay(self.clock.now()) && self.clock.now() < until {
+            tokio::time::sleep(BUDGET_STEP).await;
+        }
+    }
+
     async fn delete(&self, key: &str, condition: store::Condition) -> Result<(), store::Error> {
         let done = self.write(key, None, condition).await;
         self.calls.count(calls::Kind::Delete, done.as_ref().err());
--- a/crates/geraniumgauge/src/store/mod.rs
+++ b/crates/geraniumgauge/src/store/mod.rs
@@ -140,6 +140,12 @@
         condition: Condition,
     ) -> Result<ids::ObjectVersion, Error>;
 
+    /// Waits until a write below `key` can be made at once, as far as this VM's
+    /// own budget goes. What gathers meanwhile can still join the write.
+    async fn ready(&self, key: &str) {
+        let _ = key;
+    }
+
     /// Deletes one object where `condition` holds.
     ///
     /// # Errors
