--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod load;
 pub mod outcome;
+pub mod records;
 pub mod tally;
 
 mod cold_start;
@@ -11,6 +12,8 @@
 mod fanout;
 mod overload;
 mod replica_loss;
+mod outage;
+mod registrations;
 mod report;
 pub mod searches;
 mod shed;
@@ -78,6 +81,8 @@
     drain::SCENARIO,
     replica_loss::SCENARIO,
     silent::SCENARIO,
+    registrations::SCENARIO,
+    outage::SCENARIO,
 ];
 
 /// The scenario of that name.
