--- a/crates/geraniumgauge/src/slo/series.rs
+++ b/crates/geraniumgauge/src/slo/series.rs
@@ -17,7 +17,15 @@
 ];
 
 /// Counts of one service by time. At most about 160 slices.
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 #[serde(transparent)]
 pub struct Series {
     slices: Vec<Slice>,
--- /dev/null
+++ b/crates/standin/src/measure/calls.rs
@@ -0,0 +1,312 @@
+//! What the data path costs: a search, a shard call, a frame; memory of a
+//! link, a service and a replica.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use geraniumgauge::document;
+use geraniumgauge::ids;
+use geraniumgauge::layout;
+use geraniumgauge::member;
+use geraniumgauge::mesh;
+use geraniumgauge::mesh::Post as _;
+use geraniumgauge::mesh::message;
+use geraniumgauge::metrics;
+use geraniumgauge::query;
+use geraniumgauge::store;
+use geraniumgauge::timer;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::measure;
+use crate::measure::outcome;
+use crate::measure::straggler;
+use crate::measure::usage;
+use crate::site;
+
+/// The scenario.
+pub(super) const SCENARIO: measure::Scenario = measure::Scenario {
+    name: "calls",
+    about: "processor time and bytes a search, a shard call and a frame; memory a link, a replica",
+    baseline: Some(query::Policy::Direct),
+    run: |context| Box::pin(run(context)),
+};
+
+const SERVICE: &str = "wide";
+const WIDTHS: [usize; 3] = [20, 80, 240];
+const RATE: f64 = 20.0;
+const VMS: usize = 8;
+const RUNS: usize = 3;
+const SPAN: time::Duration = time::Duration::from_secs(4);
+const DEADLINE: time::Duration = time::Duration::from_millis(1000);
+
+async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
+    let mut out = outcome::Outcome::default();
+    let mut costs = Vec::new();
+    for width in WIDTHS {
+        let part = searches(context, width).await?;
+        let cost = part.figures.get("search_processor_us").copied();
+        costs.push((width as f64, cost.unwrap_or(0.0)));
+        out.absorb(&format!("shards_{width}_"), part);
+    }
+    let (first, last) = (costs[0], costs[costs.len() - 1]);
+    let slope = (last.1 - first.1) / (last.0 - first.0);
+    out.figure("shard_call_processor_us", slope);
+    out.figure("search_alone_processor_us", first.1 - slope * first.0);
+    if context.policy == query::Policy::Full {
+        out.absorb("frame_", frames().await?);
+        out.absorb("", links().await?);
+        out.absorb("", replicas().await?);
+    }
+    Ok(out)
+}
+
+async fn searches(
+    context: measure::Context,
+    width: usize,
+) -> Result<outcome::Outcome, measure::Error> {
+    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, width)]);
+    config.policy = context.policy;
+    config.seed = context.seed;
+    config.vms = VMS;
+    let site = site::Site::start(config).await?;
+    straggler::searches(&site, SERVICE, RATE, SPAN, context.seed, DEADLINE).await?;
+    let (mut processor, mut frames, mut bytes) = (Vec::new(), Vec::new(), Vec::new());
+    let mut out = outcome::Outcome::default();
+    for run in 0..RUNS as u64 {
+        let spent = usage::processor("vm-");
+        let sent = usage::sum(&site.nodes, "mesh_frames_sent").await;
+        let written = usage::sum(&site.nodes, "mesh_bytes_sent").await;
+        let seed = context.seed + 1 + run;
+        let tally = straggler::searches(&site, SERVICE, RATE, SPAN, seed, DEADLINE).await?;
+        let count = tally.sent() as f64;
+        out.violations.extend(tally.outcome(0).violations);
+        processor.push((usage::processor("vm-") - spent).as_secs_f64() * 1e6 / count);
+        frames.push((usage::sum(&site.nodes, "mesh_frames_sent").await - sent) / count);
+        bytes.push((usage::sum(&site.nodes, "mesh_bytes_sent").await - written) / count);
+    }
+    usage::Spread::of(processor).figure("search_processor_us", &mut out);
+    usage::Spread::of(frames).figure("search_frames", &mut out);
+    usage::Spread::of(bytes).figure("search_mesh_bytes", &mut out);
+    Ok(out)
+}
+
+/// Counts frames.
+#[derive(Default)]
+struct Sink(atomic::AtomicU64);
+
+impl mesh::Receive for Sink {
+    fn receive(&self, _: &ids::Vm, _: message::Body) {
+        self.0.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    fn lost(&self, _: &ids::Vm) {}
+}
+
+struct Peer {
+    mesh: sync::Arc<mesh::Mesh>,
+    sink: sync::Arc<Sink>,
+    metrics: metrics::Metrics,
+    member: member::Member,
+    view: watch::Sender<member::Shared>,
+    stop: CancellationToken,
+}
+
+async fn peers(count: usize) -> Result<Vec<Peer>, measure::Error> {
+    let mut peers = Vec::new();
+    for number in 0..count {
+        peers.push(peer(number).await?);
+    }
+    let members: Vec<_> = peers.iter().map(|peer| peer.member.clone()).collect();
+    for peer in &peers {
+        let view = member::View::new(peer.member.vm.clone(), members.clone());
+        peer.view.send_replace(sync::Arc::new(view));
+    }
+    Ok(peers)
+}
+
+async fn peer(number: usize) -> Result<Peer, measure::Error> {
+    let other = |what: String| measure::Error::Other { what };
+    let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let listen = tokio::net::TcpListener::bind(any).await;
+    let listen = listen.map_err(|error| other(error.to_string()))?;
+    let member = member::Member {
+        vm: format!("vm-{number}")
+            .parse()
+            .map_err(|e: ids::Error| other(e.to_string()))?,
+        incarnation: ids::Incarnation(1),
+        data_centre: site::data_centre(number, 4),
+        address: listen
+            .local_addr()
+            .map_err(|error| other(error.to_string()))?,
+        state: member::State::Alive,
+    };
+    let empty = member::View::new(member.vm.clone(), Vec::new());
+    let (view, seen) = watch::channel(sync::Arc::new(empty));
+    let (sink, stop) = (sync::Arc::new(Sink::default()), CancellationToken::new());
+    let metrics = metrics::Metrics::new().map_err(|error| other(error.to_string()))?;
+    let config = mesh::Config::new(member.vm.clone(), member.incarnation, listen);
+    let timer = timer::Service::new(stop.clone());
+    let receive: sync::Arc<dyn mesh::Receive> = sync::Arc::clone(&sink) as _;
+    let mesh = mesh::Mesh::start(config, seen, receive, timer, &metrics.meter());
+    Ok(Peer {
+        mesh,
+        sink,
+        metrics,
+        member,
+        view,
+        stop,
+    })
+}
+
+/// A reply of about the size of one shard's hits.
+fn reply() -> message::Body {
+    let reply = message::Reply {
+        attempt: 1_000_000,
+        upstream: "wide-100-1".to_owned(),
+        shard: "shard-100".to_owned(),
+        outcome: message::Outcome::Hits as i32,
+        index_version: 7,
+        layout: 1,
+        body: bytes::Bytes::from_static(&[b'x'; 400]),
+        ..message::Reply::default()
+    };
+    message::Body::Replies(message::Replies {
+        replies: vec![reply],
+    })
+}
+
+/// Processor time of a frame at both ends together, in bursts, which share
+/// writes, and one at a time, which don't.
+async fn frames() -> Result<outcome::Outcome, measure::Error> {
+    let mut out = outcome::Outcome::default();
+    let pair = peers(2).await?;
+    for (name, burst, count) in [("in_bursts", 100, 100_000), ("alone", 1, 20_000)] {
+        let mut processor = Vec::new();
+        for _ in 0..RUNS {
+            let spent = usage::processor("");
+            send(&pair, burst, count).await;
+            processor.push((usage::processor("") - spent).as_secs_f64() * 1e6 / count as f64);
+        }
+        usage::Spread::of(processor).figure(&format!("{name}_processor_us"), &mut out);
+    }
+    let text = pair[0].metrics.text().unwrap_or_default();
+    let bytes = text
+        .lines()
+        .find(|line| line.starts_with("mesh_bytes_sent"));
+    let bytes = bytes.and_then(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok());
+    let sent = pair[1].sink.0.load(atomic::Ordering::Relaxed) as f64;
+    out.figure("bytes", bytes.unwrap_or(0.0) / sent);
+    pair.iter().for_each(|peer| peer.stop.cancel());
+    Ok(out)
+}
+
+async fn send(pair: &[Peer], burst: usize, count: usize) {
+    let received = || pair[1].sink.0.load(atomic::Ordering::Relaxed);
+    let start = received();
+    let mut sent = 0;
+    while sent < count {
+        for _ in 0..burst {
+            sent += usize::from(pair[0].mesh.send(&pair[1].member.vm, reply()).is_ok());
+        }
+        while received() < start + sent as u64 {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// Memory of links, both ends, of a full mesh in this process.
+async fn links() -> Result<outcome::Outcome, measure::Error> {
+    const PEERS: usize = 48;
+    let mut out = outcome::Outcome::default();
+    let all = peers(PEERS).await?;
+    let before = usage::memory();
+    for (a, b) in all.iter().flat_map(|a| all.iter().map(move |b| (a, b))) {
+        if a.member.vm != b.member.vm {
+            let _ = a.mesh.send(&b.member.vm, reply());
+        }
+    }
+    let links = PEERS * (PEERS - 1);
+    let arrived = || {
+        all.iter()
+            .map(|peer| peer.sink.0.load(atomic::Ordering::Relaxed))
+    };
+    while arrived().sum::<u64>() < links as u64 {
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    out.figure(
+        "link_memory_kib",
+        (usage::memory() - before) / 1024.0 / links as f64,
+    );
+    all.iter().for_each(|peer| peer.stop.cancel());
+    Ok(out)
+}
+
+/// Memory of replicas that a VM knows of and is home to, without traffic.
+async fn replicas() -> Result<outcome::Outcome, measure::Error> {
+    const SERVICES: usize = 50;
+    const SHARDS: usize = 40;
+    const VMS: usize = 3;
+    let mut out = outcome::Outcome::default();
+    let mut config = site::Config::new(Vec::new());
+    config.vms = VMS;
+    let site = site::Site::start(config).await?;
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let before = usage::memory();
+    for number in 0..SERVICES {
+        let id = format!("service-{number}");
+        let layout = serde_json::to_vec(&layout_of(number, SHARDS)?).unwrap_or_default();
+        let document = serde_json::to_vec(&document::Document::default()).unwrap_or_default();
+        site.platform.state().objects(|objects| {
+            let any = store::Condition::Any;
+            let _ = objects.put(&format!("layouts/{id}"), layout.into(), any);
+            let _ = objects.put(&format!("documents/{id}"), document.into(), any);
+        });
+    }
+    tokio::time::sleep(time::Duration::from_secs(15)).await;
+    let replicas = SERVICES * SHARDS * 2;
+    let grown = (usage::memory() - before) / 1024.0;
+    // The stores of the stand-ins hold the layouts as well; that is small.
+    out.figure("replica_memory_kib", grown / (VMS * replicas) as f64);
+    out.figure(
+        "service_of_80_replicas_memory_kib",
+        grown / (VMS * SERVICES) as f64,
+    );
+    Ok(out)
+}
+
+/// A layout whose upstreams nobody runs.
+fn layout_of(number: usize, shards: usize) -> Result<layout::Layout, measure::Error> {
+    let bad = |error: ids::Error| measure::Error::Other {
+        what: error.to_string(),
+    };
+    let mut made = layout::Layout {
+        version: ids::LayoutVersion(1),
+        upstreams: Vec::new(),
+        shards: Vec::new(),
+    };
+    for shard in 0..shards {
+        let mut replicas = Vec::new();
+        for replica in 0..2 {
+            let id: ids::Upstream = format!("u-{number}-{shard}-{replica}")
+                .parse()
+                .map_err(bad)?;
+            replicas.push(id.clone());
+            made.upstreams.push(layout::Upstream {
+                id,
+                address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
+                data_centre: site::data_centre(shard + replica, 3),
+                slots: 2,
+                connections: 25,
+                connect_ms: 6,
+            });
+        }
+        made.shards.push(layout::Shard {
+            id: format!("shard-{shard}").parse().map_err(bad)?,
+            replicas,
+        });
+    }
+    Ok(made)
+}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -6,9 +6,14 @@
 pub mod outcome;
 pub mod tally;
 
+mod calls;
+mod control;
 mod fanout;
 mod report;
+mod stop;
 mod straggler;
+mod usage;
+mod vm_loss;
 
 pub use report::Report;
 
@@ -62,7 +67,14 @@
 }
 
 /// All scenarios, in the order in which `all` runs them.
-pub const SCENARIOS: &[Scenario] = &[straggler::SCENARIO, fanout::SCENARIO];
+pub const SCENARIOS: &[Scenario] = &[
+    straggler::SCENARIO,
+    fanout::SCENARIO,
+    stop::SCENARIO,
+    vm_loss::SCENARIO,
+    control::SCENARIO,
+    calls::SCENARIO,
+];
 
 /// The scenario of that name.
 pub fn find(name: &str) -> Option<Scenario> {
