--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -9,6 +9,8 @@
 
 mod cold_start;
 mod drain;
+mod calls;
+mod control;
 mod fanout;
 mod overload;
 mod replica_loss;
@@ -18,7 +20,10 @@
 pub mod searches;
 mod shed;
 mod silent;
+mod stop;
 mod straggler;
+mod usage;
+mod vm_loss;
 
 pub use report::Report;
 
@@ -83,6 +88,10 @@
     silent::SCENARIO,
     registrations::SCENARIO,
     outage::SCENARIO,
+    stop::SCENARIO,
+    vm_loss::SCENARIO,
+    control::SCENARIO,
+    calls::SCENARIO,
 ];
 
 /// The scenario of that name.
