--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -37,7 +37,9 @@
 /// Warnings go to standard error. Set up before rocket, which would install a
 /// logger of its own.
 fn logs() {
-    let warnings = fern::Dispatch::new().level(log::LevelFilter::Warn).chain(std::io::stderr());
+    let warnings = fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .chain(std::io::stderr());
     let _ = warnings.apply();
 }
 
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -6,7 +6,9 @@
 pub mod outcome;
 pub mod tally;
 
+mod documents;
 mod fanout;
+mod generations;
 mod report;
 mod straggler;
 
@@ -62,7 +64,7 @@
 }
 
 /// All scenarios, in the order in which `all` runs them.
-pub const SCENARIOS: &[Scenario] = &[straggler::SCENARIO, fanout::SCENARIO];
+pub const SCENARIOS: &[Scenario] = &[straggler::SCENARIO, fanout::SCENARIO, documents::SCENARIO];
 
 /// The scenario of that name.
 pub fn find(name: &str) -> Option<Scenario> {
