--- a/crates/geraniumgauge/src/document/spread.rs
+++ b/crates/geraniumgauge/src/document/spread.rs
@@ -378,7 +378,8 @@
         self.report(now);
         self.compare(now);
         for peer in self.join.ask(&self.roles.peers, now) {
-            self.send(&peer, digest_frame(self.digest));
+            let frame = self.digest_frame();
+            self.send(&peer, frame);
         }
         if let Some(source) = self
             .join
@@ -471,22 +472,24 @@
         }
         self.compare = now + COMPARE.mul_f64(self.random.random_range(0.75..1.25));
         if let Some(peer) = self.roles.peers.choose(&mut self.random).cloned() {
-            self.send(&peer, digest_frame(self.digest));
+            let frame = self.digest_frame();
+            self.send(&peer, frame);
         }
     }
 
+    fn digest_frame(&self) -> message::Body {
+        message::Body::Pull(message::Pull {
+            digest: self.digest,
+            unconfirmed: !self.join.confirmed(),
+            ..message::Pull::default()
+        })
+    }
+
     fn send(&mut self, to: &ids::Vm, body: message::Body) {
         self.actions.push(Action::Send(to.clone(), body));
     }
 }
 
-fn digest_frame(digest: u64) -> message::Body {
-    message::Body::Pull(message::Pull {
-        digest,
-        ..message::Pull::default()
-    })
-}
-
 fn wanted_frame(services: Vec<String>) -> message::Body {
     message::Body::Pull(message::Pull {
         services,
