--- a/crates/geraniumgauge/src/document/held.rs
+++ b/crates/geraniumgauge/src/document/held.rs
@@ -138,6 +138,18 @@
         self.services.iter().map(have).collect()
     }
 
+    /// Whether something held is newer than what a peer told.
+    pub(super) fn exceeds(&self, theirs: &[message::Have]) -> bool {
+        let by_service = theirs.iter().map(|have| (have.service.as_str(), have));
+        let theirs: collections::BTreeMap<_, _> = by_service.collect();
+        self.services.iter().any(|(service, parts)| {
+            let theirs = theirs.get(service.as_str());
+            theirs.is_none_or(|theirs| {
+                parts.document.version > theirs.generation || parts.layout.version > theirs.layout
+            })
+        })
+    }
+
     /// A digest of [`Self::have`], never 0. Equal digests mean equal versions.
     pub(super) fn digest(&self) -> u64 {
         digest(&self.have())
--- a/crates/geraniumgauge/src/document/mod.rs
+++ b/crates/geraniumgauge/src/document/mod.rs
@@ -7,6 +7,7 @@
 
 mod catalog;
 mod fields;
+mod frames;
 mod held;
 mod instruments;
 mod join;
@@ -14,12 +15,14 @@
 pub mod keeper;
 mod layout_text;
 mod load;
+mod report;
 mod roles;
 mod schema;
 mod service;
 mod spread;
 mod status;
 mod tally;
+mod want;
 
 pub use catalog::Catalog;
 pub use catalog::InForce;
--- a/crates/geraniumgauge/src/document/roles.rs
+++ b/crates/geraniumgauge/src/document/roles.rs
@@ -19,6 +19,8 @@
     pub(super) near: Vec<ids::Vm>,
     /// The VMs that watch the store; the first is the keeper, the others stand by.
     pub(super) watchers: Vec<ids::Vm>,
+    /// The watchers but this VM; every peer where there are none.
+    pub(super) others: Vec<ids::Vm>,
     /// Every member, this VM among them.
     pub(super) all: Vec<ids::Vm>,
 }
@@ -28,10 +30,19 @@
     pub(super) fn of(view: &member::View, data_centre: &ids::DataCentre) -> Self {
         let peers = || view.holders().filter(|member| member.vm != view.local);
         let near = peers().filter(|member| member.data_centre == *data_centre);
+        let peers: Vec<_> = peers().map(|member| member.vm.clone()).collect();
+        let watchers = watchers(view);
+        let watching = watchers.iter().filter(|vm| **vm != view.local);
+        let others: Vec<_> = watching.cloned().collect();
         Self {
             near: near.map(|member| member.vm.clone()).collect(),
-            peers: peers().map(|member| member.vm.clone()).collect(),
-            watchers: watchers(view),
+            others: if others.is_empty() {
+                peers.clone()
+            } else {
+                others
+            },
+            peers,
+            watchers,
             all: view
                 .members
                 .iter()
--- a/crates/geraniumgauge/src/document/spread.rs
+++ b/crates/geraniumgauge/src/document/spread.rs
@@ -13,35 +13,24 @@
 use rand::SeedableRng as _;
 use rand::seq::IndexedRandom as _;
 
+use crate::document::frames;
 use crate::document::held;
 use crate::document::join;
+use crate::document::report;
 use crate::document::roles;
 use crate::document::tally;
+use crate::document::want;
 use crate::ids;
 use crate::member;
 use crate::mesh::message;
 use crate::time as clock;
 
-/// Time for a peer to answer before another one is asked.
-const RETRY: time::Duration = time::Duration::from_millis(250);
+/// Time for a peer to fetch what it was told of, before it is told again.
+const TOLD: time::Duration = time::Duration::from_millis(250);
 /// How often a VM compares what it applies with a peer.
 const COMPARE: time::Duration = time::Duration::from_secs(2);
-/// How often a report is sent again that the keeper hasn't confirmed.
-const REPORT_AGAIN: time::Duration = time::Duration::from_secs(1);
-/// How often a confirmed report is refreshed.
-const REPORT: time::Duration = time::Duration::from_secs(10);
 /// Longest wait of a report after a change: all VMs change together.
 const REPORT_JITTER: time::Duration = time::Duration::from_millis(300);
-/// Pulls from random peers before the watchers are asked, who read the store.
-const TRIES_AT_PEERS: u32 = 2;
-/// Every so many pulls, the store is asked instead.
-const STORE_EACH: u32 = 8;
-/// Pulls after which a version that nobody has is given up: the VMs that had it
-/// may all be gone. A rumour or a comparison brings it back.
-const MOST_TRIES: u32 = 40;
-/// Bytes of documents and layouts after which an answer goes on in another frame.
-const FRAME: usize = 256 << 10;
-
 /// What happens to the machine.
 #[derive(Debug)]
 pub(super) enum Event {
@@ -85,11 +74,11 @@
     held: held::Held,
     digest: u64,
     roles: roles::Roles,
-    wanted: collections::BTreeMap<ids::Service, Want>,
+    wanted: want::Wanted,
     rumoured: collections::BTreeMap<(held::Kind, ids::Service), u64>,
     tally: tally::Tally,
     join: join::Join,
-    report: Report,
+    report: report::Report,
     compare: clock::Moment,
     /// When a peer may be told again what it lacks.
     push: clock::Moment,
@@ -97,21 +86,6 @@
     actions: Vec<Action>,
 }
 
-#[derive(Debug)]
-struct Want {
-    document: u64,
-    layout: u64,
-    tries: u32,
-    next: clock::Moment,
-}
-
-#[derive(Debug, Default)]
-struct Report {
-    /// The keeper and the digest that it has confirmed.
-    confirmed: Option<(ids::Vm, u64)>,
-    due: clock::Moment,
-}
-
 impl Spread {
     /// A VM that holds nothing yet.
     pub(super) fn new(local: ids::Vm, seed: u64, now: clock::Moment) -> Self {
@@ -121,11 +95,11 @@
             digest: held.digest(),
             held,
             roles: roles::Roles::default(),
-            wanted: collections::BTreeMap::new(),
+            wanted: want::Wanted::default(),
             rumoured: collections::BTreeMap::new(),
             tally: tally::Tally::default(),
             join: join::Join::new(now),
-            report: Report::default(),
+            report: report::Report::default(),
             compare: now,
             push: now,
             random: rand::rngs::StdRng::seed_from_u64(seed),
@@ -143,7 +117,7 @@
             Event::Stored(service, kind, part) => self.offer(&service, kind, part, now),
             Event::Loaded => {
                 self.join.loaded();
-                self.report.due = now;
+                self.report.soon(now);
             }
             Event::StoreFailed => self.join.store_failed(),
             Event::Tick => self.tick(now),
@@ -189,8 +163,7 @@
 
     fn view(&mut self, roles: roles::Roles, now: clock::Moment) {
         if roles.keeper() != self.roles.keeper() {
-            self.report.confirmed = None;
-            self.report.due = now;
+            self.report.renew(now);
         }
         self.tally.retain(&roles.all.iter().collect());
         self.roles = roles;
@@ -200,7 +173,7 @@
         if rumour.topic != member::Topic::Catalog {
             return;
         }
-        let Some((kind, service)) = topic(&rumour.key) else {
+        let Some((kind, service)) = frames::topic(&rumour.key) else {
             return;
         };
         let known = self.rumoured.entry((kind, service.clone())).or_default();
@@ -212,16 +185,7 @@
         if version <= self.held.version(service, kind) {
             return;
         }
-        let want = self.wanted.entry(service.clone()).or_insert(Want {
-            document: 0,
-            layout: 0,
-            tries: 0,
-            next: now,
-        });
-        match kind {
-            held::Kind::Document => want.document = want.document.max(version),
-            held::Kind::Layout => want.layout = want.layout.max(version),
-        }
+        self.wanted.add(service, kind, version, now);
     }
 
     fn offer(
@@ -238,17 +202,13 @@
         self.actions.push(Action::Apply(service.clone(), content));
         self.digest = self.held.digest();
         let jitter = REPORT_JITTER.mul_f64(self.random.random());
-        self.report.due = self.report.due.min(now + jitter);
-        let held = &self.held;
-        self.wanted.retain(|service, want| {
-            want.document > held.version(service, held::Kind::Document)
-                || want.layout > held.version(service, held::Kind::Layout)
-        });
+        self.report.soon(now + jitter);
+        self.wanted.settle(&self.held);
         let known = self.rumoured.entry((kind, service.clone())).or_default();
         if *known < version {
             *known = version;
             self.actions
-                .push(Action::Publish(rumour(kind, service, version)));
+                .push(Action::Publish(frames::rumour(kind, service, version)));
         }
     }
 
@@ -259,10 +219,13 @@
         let keeper = self.roles.keeper() == Some(&self.local);
         // The sender may be the only VM that holds something.
         self.compared(from, &pull.have, now);
-        let known = match (keeper, pull.have.is_empty()) {
+        // A VM that holds nothing reports an empty list; asked for the full form,
+        // it would send the same again at once and for ever.
+        let full = !pull.have.is_empty() || pull.digest == held::digest(&[]);
+        let known = match (keeper, full) {
             (false, _) => true,
-            (true, true) => self.tally.refresh(from, pull.digest, pull.unconfirmed, now),
-            (true, false) => {
+            (true, false) => self.tally.refresh(from, pull.digest, pull.unconfirmed, now),
+            (true, true) => {
                 self.tally.report(from, pull.have, pull.unconfirmed, now);
                 true
             }
@@ -282,24 +245,11 @@
         self.send(from, message::Body::Pulled(reply));
     }
 
-    /// A frame is bounded, so a long answer goes out as several.
     fn answer(&mut self, from: &ids::Vm, services: &[String]) {
         let known = services.iter().filter_map(|name| name.parse().ok());
-        let entries: Vec<_> = known
-            .filter_map(|service| self.held.entry(&service))
-            .collect();
-        let mut frame = Vec::new();
-        let mut size = 0;
-        for entry in entries {
-            size += entry.document.len() + entry.layout.len();
-            frame.push(entry);
-            if size >= FRAME {
-                self.send(from, entries_frame(mem::take(&mut frame)));
-                size = 0;
-            }
-        }
-        if !frame.is_empty() {
-            self.send(from, entries_frame(frame));
+        let entries = known.filter_map(|service| self.held.entry(&service));
+        for body in frames::entries(entries.collect()) {
+            self.send(from, body);
         }
     }
 
@@ -320,8 +270,7 @@
         self.join.answered(from, pulled.settled);
         let keeper = self.roles.keeper() == Some(from);
         if keeper && pulled.tell {
-            self.report.confirmed = None;
-            self.report.due = now;
+            self.report.renew(now);
         }
     }
 
@@ -334,13 +283,12 @@
             };
             self.want(&service, held::Kind::Document, theirs.generation, now);
             self.want(&service, held::Kind::Layout, theirs.layout, now);
-            if let Some(want) = self.wanted.get_mut(&service) {
-                want.next = now + RETRY;
+            if self.wanted.asked(&service, now) {
                 newer.push(theirs.service.clone());
             }
         }
         if !newer.is_empty() {
-            self.send(from, wanted_frame(newer));
+            self.send(from, frames::wanted(newer));
         }
     }
 
@@ -350,22 +298,11 @@
         if have.is_empty() || now < self.push {
             return;
         }
-        let theirs: collections::BTreeMap<_, _> = have
-            .iter()
-            .map(|have| (have.service.as_str(), have))
-            .collect();
-        let mine = self.held.have();
-        let newer = mine.iter().any(|mine| {
-            let theirs = theirs.get(mine.service.as_str());
-            theirs.is_none_or(|theirs| {
-                mine.generation > theirs.generation || mine.layout > theirs.layout
-            })
-        });
-        if newer {
-            self.push = now + RETRY;
+        if self.held.exceeds(have) {
+            self.push = now + TOLD;
             let pull = message::Pull {
                 digest: self.digest,
-                have: mine,
+                have: self.held.have(),
                 unconfirmed: !self.join.confirmed(),
                 ..message::Pull::default()
             };
@@ -389,50 +326,24 @@
         }
     }
 
-    /// Asks one peer for everything that is wanted and due. Random peers come
-    /// first, so that the watchers aren't asked by the whole fleet at once.
+    /// Asks one peer, or the store, for everything that is wanted and due.
     fn ask(&mut self, now: clock::Moment) {
-        self.wanted.retain(|_, want| want.tries < MOST_TRIES);
-        let mut due = Vec::new();
-        let mut tries = 0;
-        for (service, want) in &mut self.wanted {
-            if want.next > now {
-                continue;
-            }
-            tries = tries.max(want.tries);
-            want.tries += 1;
-            want.next = now + RETRY;
-            due.push(service.clone());
-        }
-        if due.is_empty() {
+        let Some(due) = self.wanted.due(now) else {
             return;
-        }
-        if tries % STORE_EACH == STORE_EACH - 1 {
-            return self.actions.extend(due.into_iter().map(Action::Fetch));
-        }
-        if let Some(peer) = self.choose(tries) {
-            let names = due.iter().map(ToString::to_string).collect();
-            self.send(&peer, wanted_frame(names));
-        }
-    }
-
-    fn choose(&mut self, tries: u32) -> Option<ids::Vm> {
-        let near = tries == 0 && !self.roles.near.is_empty();
-        let watchers: Vec<_> = self
-            .roles
-            .watchers
-            .iter()
-            .filter(|vm| **vm != self.local)
-            .cloned()
-            .collect();
-        let from = if near {
-            &self.roles.near
-        } else if tries < TRIES_AT_PEERS || watchers.is_empty() {
-            &self.roles.peers
-        } else {
-            &watchers
         };
-        from.choose(&mut self.random).cloned()
+        let peer = match due.whom {
+            want::Whom::Store => {
+                let fetches = due.services.into_iter().map(Action::Fetch);
+                return self.actions.extend(fetches);
+            }
+            want::Whom::Near if !self.roles.near.is_empty() => &self.roles.near,
+            want::Whom::Near | want::Whom::Anyone => &self.roles.peers,
+            want::Whom::Watchers => &self.roles.others,
+        };
+        if let Some(peer) = peer.choose(&mut self.random).cloned() {
+            let names = due.services.iter().map(ToString::to_string).collect();
+            self.send(&peer, frames::wanted(names));
+        }
     }
 
     fn report(&mut self, now: clock::Moment) {
@@ -444,19 +355,11 @@
             let have = self.held.have();
             return self.tally.report(&self.local, have, unconfirmed, now);
         }
-        if now < self.report.due {
-            return;
-        }
-        let confirmed = self.report.confirmed == Some((keeper.clone(), self.digest));
-        let (have, again) = if confirmed {
-            (Vec::new(), REPORT)
-        } else {
-            (self.held.have(), REPORT_AGAIN)
+        let have = match self.report.next(&keeper, self.digest, now) {
+            None => return,
+            Some(report::Form::Short) => Vec::new(),
+            Some(report::Form::Full) => self.held.have(),
         };
-        // The next report is the short form; a keeper that has missed this one
-        // asks for the full form then.
-        self.report.confirmed = Some((keeper.clone(), self.digest));
-        self.report.due = now + again;
         let pull = message::Pull {
             digest: self.digest,
             have,
@@ -490,40 +393,6 @@
     }
 }
 
-fn wanted_frame(services: Vec<String>) -> message::Body {
-    message::Body::Pull(message::Pull {
-        services,
-        ..message::Pull::default()
-    })
-}
-
-fn entries_frame(entries: Vec<message::Entry>) -> message::Body {
-    message::Body::Pulled(message::Pulled {
-        entries,
-        ..message::Pulled::default()
-    })
-}
-
-/// Rumours of the two parts of a service grow apart, so each has its own key.
-fn rumour(kind: held::Kind, service: &ids::Service, version: u64) -> member::Rumour {
-    member::Rumour {
-        topic: member::Topic::Catalog,
-        key: format!("{kind}/{service}"),
-        version,
-        body: bytes::Bytes::new(),
-    }
-}
-
-fn topic(key: &str) -> Option<(held::Kind, ids::Service)> {
-    let (kind, service) = key.split_once('/')?;
-    let kind = match kind {
-        "document" => held::Kind::Document,
-        "layout" => held::Kind::Layout,
-        _ => return None,
-    };
-    Some((kind, service.parse().ok()?))
-}
-
 #[cfg(test)]
 #[path = "tests/spread.rs"]
 mod tests;
--- a/crates/geraniumgauge/src/document/tests/spread.rs
+++ b/crates/geraniumgauge/src/document/tests/spread.rs
@@ -246,7 +246,7 @@
 #[test]
 fn a_version_that_nobody_has_is_given_up() {
     let mut world = World::new(9);
-    let ghost = rumour(held::Kind::Document, &service(1), 900);
+    let ghost = frames::rumour(held::Kind::Document, &service(1), 900);
     world.event(0, Event::Rumour(ghost));
     assert!(world.vms[0].behind());
     for _ in 0..200 {
