--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -23,7 +23,7 @@
     let wait = call.value::<u64>("--wait")?.unwrap_or(WAIT_S);
     let file = call.argument(1).to_owned();
     let text = check::read(&file)?;
-    let document = document::parse(&file, &text).map_err(failure::Failure::Findings)?;
+    let document = document::parse(&file, &text).map_err(failure::Failure::unwritten)?;
     let store = call.store()?;
     let edit = Edit {
         service,
@@ -198,9 +198,10 @@
         });
     }
     match &status.document {
-        document::Verdict::Refused { findings, .. } => {
-            Err(failure::Failure::Findings(findings.clone()))
-        }
+        document::Verdict::Refused { findings, .. } => Err(failure::Failure::Findings {
+            findings: findings.clone(),
+            ending: "the document accepted before stays in force; mend them and apply again",
+        }),
         document::Verdict::SetBack { .. } => Err(failure::Failure::Refused(format!(
             "the store was set back to an older state while this was written, and version \
              {version} was not taken for an edit; apply it again"
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -12,12 +12,12 @@
     let file = call.argument(0);
     let text = read(file)?;
     if call.has("--layout") {
-        let layout = document::parse_layout(file, &text).map_err(failure::Failure::Findings)?;
+        let layout = document::parse_layout(file, &text).map_err(failure::Failure::unwritten)?;
         let (version, shards) = (layout.version, layout.shards.len());
         println!("{file}: no findings; layout version {version} of {shards} shards");
         return Ok(());
     }
-    let document = document::parse(file, &text).map_err(failure::Failure::Findings)?;
+    let document = document::parse(file, &text).map_err(failure::Failure::unwritten)?;
     println!("{file}: no findings; a document of team {}", document.team);
     Ok(())
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -48,6 +48,19 @@
     })
 }
 
+/// Fails where nothing is accepted for a service: a mistyped name must not read
+/// like a service without faults.
+pub(crate) async fn known(
+    store: &store::Client,
+    service: &ids::Service,
+) -> Result<(), failure::Failure> {
+    match store.get(&document::accepted_key(service)).await {
+        Ok(_) => Ok(()),
+        Err(store::Error::Missing { .. }) => Err(unknown(store, service).await),
+        Err(error) => Err(error.into()),
+    }
+}
+
 /// The failure that a service has no status, with those that have one.
 pub(crate) async fn unknown(store: &store::Client, service: &ids::Service) -> failure::Failure {
     let listing = match store.list(document::STATUS).await {
@@ -82,6 +95,13 @@
         status.vms,
         behind(status)
     ));
+    if !status.unconfirmed.is_empty() {
+        let names: Vec<_> = status.unconfirmed.iter().map(ToString::to_string).collect();
+        lines.push(format!(
+            "started while the store was out, and apply what the other VMs told: {}",
+            names.join(", ")
+        ));
+    }
     lines.extend(verdict(&status.document));
     lines.extend(listed("the layout was refused:", &status.layout_findings));
     if status.layout.0 == 0 {
--- a/crates/cli/src/tests/status.rs
+++ b/crates/cli/src/tests/status.rs
@@ -15,6 +15,7 @@
         in_force: 7,
         vms: 8,
         behind: vec!["vm-3".parse().unwrap()],
+        unconfirmed: Vec::new(),
         retired: false,
         keeper: "vm-1".parse().unwrap(),
         written: time::Wall(1000),
--- a/crates/daemon/src/fields.rs
+++ b/crates/daemon/src/fields.rs
@@ -17,7 +17,7 @@
         required: true,
         doc: "This VM's name, unique among the VMs.",
         kind: jsonc::Kind::Text {
-            form: "name of letters, digits and . _ : -",
+            form: "a name of letters, digits and . _ : -",
             get: |kept| Some(kept.vm.to_string()),
             set: |kept, text| parse(&mut kept.vm, text),
         },
@@ -27,7 +27,7 @@
         required: true,
         doc: "The data centre it runs in, as the layouts name it.",
         kind: jsonc::Kind::Text {
-            form: "name of letters, digits and . _ : -",
+            form: "a name of letters, digits and . _ : -",
             get: |kept| Some(kept.data_centre.to_string()),
             set: |kept, text| parse(&mut kept.data_centre, text),
         },
@@ -103,7 +103,7 @@
         required: false,
         doc: "The file that JSON lines are added to; standard error where it is not set.",
         kind: jsonc::Kind::Text {
-            form: "path",
+            form: "a path",
             get: |kept| {
                 kept.log
                     .file
--- a/crates/geraniumgauge/src/mesh/message.rs
+++ b/crates/geraniumgauge/src/mesh/message.rs
@@ -379,6 +379,10 @@
     /// What the sender applies, as its report to the keeper; else empty.
     #[prost(message, repeated, tag = "3")]
     pub have: Vec<Have>,
+    /// The sender started while the store was out: what it applies was told by
+    /// other members and isn't confirmed by the store yet.
+    #[prost(bool, tag = "4")]
+    pub unconfirmed: bool,
 }
 
 /// Which generation and layout of a service a VM applies.
--- a/crates/geraniumgauge/src/slo/page.rs
+++ b/crates/geraniumgauge/src/slo/page.rs
@@ -58,6 +58,7 @@
     chart
         .configure_mesh()
         .x_desc("hours before the report")
+        .max_light_lines(0)
         .y_desc("times the allowed rate")
         .draw()?;
     let limit = plot::LineSeries::new([(oldest, 1.0), (0.0, 1.0)], plot::BLACK.mix(0.4));
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -7,15 +7,17 @@
 pub mod records;
 pub mod tally;
 
-mod cold_start;
-mod drain;
 mod calls;
+mod cold_start;
 mod control;
+mod documents;
+mod drain;
 mod fanout;
-mod overload;
-mod replica_loss;
+mod generations;
 mod outage;
+mod overload;
 mod registrations;
+mod replica_loss;
 mod report;
 pub mod searches;
 mod shed;
@@ -92,6 +94,7 @@
     vm_loss::SCENARIO,
     control::SCENARIO,
     calls::SCENARIO,
+    documents::SCENARIO,
 ];
 
 /// The scenario of that name.
--- a/crates/standin/src/measure/stop.rs
+++ b/crates/standin/src/measure/stop.rs
@@ -47,7 +47,7 @@
     let mut tally = tally::Tally::default();
     let mut cut = outcome::Outcome::default();
     for (query, sample) in &samples {
-        tally.add(site.service(SERVICE), query, sample);
+        tally.add(&site.service(SERVICE).layout, query, sample);
         judge(sample, &mut cut);
     }
     let mut out = tally.outcome(arrived);
--- a/crates/standin/src/measure/vm_loss.rs
+++ b/crates/standin/src/measure/vm_loss.rs
@@ -101,7 +101,7 @@
     for (query, sample) in samples {
         let at_dead = sample.vm.as_ref().is_some_and(|vm| dead.contains(vm));
         if sample.reply.is_ok() || !at_dead {
-            tally.add(service, query, sample);
+            tally.add(&service.layout, query, sample);
         }
     }
     tally
