measure together: many faults at once and one upon another

Change: searches and registrations through thirty seconds of seeded faults, and a check that every search is whole again twelve seconds after the last.

--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -24,6 +24,7 @@
 mod silent;
 mod stop;
 mod straggler;
+mod together;
 mod usage;
 mod vm_loss;
 
@@ -95,6 +96,7 @@
     control::SCENARIO,
     calls::SCENARIO,
     documents::SCENARIO,
+    together::SCENARIO,
 ];
 
 /// The scenario of that name.
--- a/crates/standin/src/measure/records.rs
+++ b/crates/standin/src/measure/records.rs
@@ -64,13 +64,18 @@
 ) -> Result<Tally, measure::Error> {
     let caller = load::Caller::new(site)?;
     let service = site.service(service).id().clone();
+    Ok(send_by(caller, service, plan.clone(), seed).await)
+}
+
+/// Sends registrations as planned, through a caller that is there already.
+pub async fn send_by(caller: load::Caller, service: ids::Service, plan: Plan, seed: u64) -> Tally {
     let sent = load::open_loop(plan.rate, plan.span, seed, |number| {
         let key = format!("{}-{seed}-{number}", plan.prefix);
         let mut random = rand::rngs::StdRng::seed_from_u64(seed ^ number);
         let double = random.random_bool(plan.doubles);
         one(caller.clone(), service.clone(), plan.clone(), key, double)
     });
-    Ok(Tally { sent: sent.await })
+    Tally { sent: sent.await }
 }
 
 async fn one(
