Direct VMs keep to the connections that eight of them may hold

Cause: in the baseline each of 8 VMs took 30% of an upstream's connections, 56 of 25, and measured its refusals. Change: Role::Direct has 12%, 3 of 25 connections, as the users' VMs have today.

--- a/crates/geraniumgauge/src/home/placement.rs
+++ b/crates/geraniumgauge/src/home/placement.rs
@@ -38,6 +38,9 @@
     /// Would be the standby if one of the two went. It serves calls of VMs
     /// that already see it as a home, within a small allowance.
     Next,
+    /// One of many that call the upstream without knowing of each other; only
+    /// of [`Cache::direct`].
+    Direct,
 }
 
 /// What `vm` is to `upstream` by `view`; `None` where it is no home of it.
@@ -181,7 +184,7 @@
         vm: &ids::Vm,
     ) -> Option<Role> {
         if self.direct {
-            return Some(Role::Primary);
+            return Some(Role::Direct);
         }
         let mut known = self.known(view);
         let known = known.roles.entry(place(upstream, service));
--- a/crates/geraniumgauge/src/home/state/share.rs
+++ b/crates/geraniumgauge/src/home/state/share.rs
@@ -7,6 +7,9 @@
 const PRIMARY_PERCENT: u32 = 30;
 /// Of the upstream's connections, in percent, for each other home.
 const OTHER_PERCENT: u32 = 10;
+/// Of the upstream's connections, in percent, for each of eight VMs that call it
+/// directly.
+const DIRECT_PERCENT: u32 = 12;
 /// A home other than the primary runs one call for this many slots.
 const SLOTS_PER_CALL: u32 = 4;
 
@@ -36,6 +39,10 @@
                 connections: percent(upstream.connections, OTHER_PERCENT),
                 calls: (upstream.slots / SLOTS_PER_CALL).max(1),
             },
+            Some(placement::Role::Direct) => Self {
+                connections: percent(upstream.connections, DIRECT_PERCENT),
+                calls: upstream.slots,
+            },
             None => Self {
                 connections: 0,
                 calls: 0,
--- a/crates/geraniumgauge/src/home/state/upkeep.rs
+++ b/crates/geraniumgauge/src/home/state/upkeep.rs
@@ -126,7 +126,7 @@
     fn stays_warm(&self, now: Moment) -> bool {
         let home = matches!(
             self.role,
-            Some(placement::Role::Primary | placement::Role::Standby)
+            Some(placement::Role::Primary | placement::Role::Standby | placement::Role::Direct)
         );
         home && !self.leaving && !self.is_unlisted(now) && !self.standing.is_down()
     }
