store: the budget follows the view; store-outage checks that nothing runs without a claim

A share was kept for 8 VMs whatever the fleet's size. Client::follow resizes it by the view; a new share starts empty, so a view that flaps fills nothing.

--- a/crates/geraniumgauge/src/store/budget.rs
+++ b/crates/geraniumgauge/src/store/budget.rs
@@ -54,11 +54,15 @@
 }
 
 impl Pair {
-    fn new(fleet: f64, vms: usize, now: time::Moment) -> Self {
+    fn new(fleet: f64, vms: usize, full: bool, now: time::Moment) -> Self {
         let rate = (fleet / vms.max(1) as f64).max(LEAST);
         let bucket = |rate: f64| {
             let burst = (rate * BURST_SECONDS).max(4.0);
-            rate::Bucket::new(rate::PerSecond(rate), burst, now)
+            let mut bucket = rate::Bucket::new(rate::PerSecond(rate), burst, now);
+            if !full {
+                bucket.take(burst, now);
+            }
+            bucket
         };
         Self {
             all: bucket(rate),
@@ -76,11 +80,21 @@
 }
 
 impl Budget {
-    /// The budget of one of `vms` VMs.
+    /// The full budget of one of `vms` VMs.
     pub(super) fn new(vms: usize, now: time::Moment) -> Self {
+        Self::of(vms, true, now)
+    }
+
+    /// Follows the size of the fleet. The new share starts empty: a view that
+    /// changes often would fill it each time.
+    pub(super) fn resize(&mut self, vms: usize, now: time::Moment) {
+        *self = Self::of(vms, false, now);
+    }
+
+    fn of(vms: usize, full: bool, now: time::Moment) -> Self {
         Self {
-            reads: Pair::new(FLEET_READS, vms, now),
-            writes: Pair::new(FLEET_WRITES, vms, now),
+            reads: Pair::new(FLEET_READS, vms, full, now),
+            writes: Pair::new(FLEET_WRITES, vms, full, now),
             prepaid: 0,
         }
     }
--- a/crates/geraniumgauge/src/store/client.rs
+++ b/crates/geraniumgauge/src/store/client.rs
@@ -6,7 +6,10 @@
 use std::sync;
 use std::time;
 
+use tokio::sync::watch;
+
 use crate::ids;
+use crate::member;
 use crate::store;
 use crate::store::budget;
 use crate::store::calls;
@@ -69,8 +72,22 @@
 
     /// Shares the store's rates among `vms` VMs.
     pub fn fleet(&self, vms: usize) {
-        let mut budget = self.lock();
-        *budget = budget::Budget::new(vms, self.clock.now());
+        self.lock().resize(vms, self.clock.now());
+    }
+
+    /// Shares the store's rates among the members of `view`, until it ends.
+    pub async fn follow(self, mut view: watch::Receiver<member::Shared>) {
+        let mut known = FLEET;
+        loop {
+            let vms = view.borrow_and_update().members.len();
+            if vms != known {
+                self.fleet(vms);
+                known = vms;
+            }
+            if view.changed().await.is_err() {
+                return;
+            }
+        }
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, budget::Budget> {
--- a/crates/geraniumgauge/src/store/tests/budget.rs
+++ b/crates/geraniumgauge/src/store/tests/budget.rs
@@ -34,3 +34,16 @@
         assert!(fleet <= FLEET_WRITES * 1.01, "{vms} VMs: {fleet}/s");
     }
 }
+
+/// Story: a VM comes and goes, and the view of the others changes each second.
+/// Were their shares filled each time, they would overrun the store.
+#[test]
+fn a_view_that_changes_often_fills_nothing() {
+    let start = time::Moment::default();
+    let mut budget = Budget::new(8, start);
+    spent(&mut budget, Urgency::First, start);
+    for vms in [9, 8, 9, 8] {
+        budget.resize(vms, start);
+        assert_eq!(spent(&mut budget, Urgency::First, start), 0);
+    }
+}
--- a/crates/standin/src/measure/outage.rs
+++ b/crates/standin/src/measure/outage.rs
@@ -104,6 +104,12 @@
             records::quantile(&took, share),
         );
     }
+    // Without the store there is no claim, and nothing may run without one.
+    for sample in records.samples().filter(|sample| sample.answered()) {
+        if phase == Phase::Down {
+            out.violate(records::ONCE, sample.request_id(), "done without a claim");
+        }
+    }
     let held = |sample: &&load::Sample| !sample.answered() && sample.ran() != Some("no");
     for sample in records
         .samples()
