--- a/crates/daemon/src/tests/settings.rs
+++ b/crates/daemon/src/tests/settings.rs
@@ -69,5 +69,7 @@
     for field in FIELDS {
         assert!(page.contains(&format!("  {}: ", field.path)));
     }
-    assert!(page.contains("stop.balancer_wait_ms: whole number, 0 to 60000 ms; default 5000"));
+    assert!(
+        page.contains("stop.balancer_wait_ms: a whole number from 0 to 60000 ms; default 5000")
+    );
 }
--- a/crates/geraniumgauge/src/document/tally.rs
+++ b/crates/geraniumgauge/src/document/tally.rs
@@ -23,6 +23,7 @@
 struct Report {
     digest: u64,
     have: Vec<message::Have>,
+    unconfirmed: bool,
     heard: clock::Moment,
 }
 
@@ -41,6 +42,7 @@
         &mut self,
         vm: &ids::Vm,
         mut have: Vec<message::Have>,
+        unconfirmed: bool,
         now: clock::Moment,
     ) {
         have.sort_by(|a, b| a.service.cmp(&b.service));
@@ -48,6 +50,7 @@
         let report = Report {
             digest,
             have,
+            unconfirmed,
             heard: now,
         };
         self.reports.insert(vm.clone(), report);
@@ -55,7 +58,13 @@
 
     /// A VM says that it applies what it reported before; false where the
     /// digest shows something else, so that a full report is needed.
-    pub(super) fn refresh(&mut self, vm: &ids::Vm, digest: u64, now: clock::Moment) -> bool {
+    pub(super) fn refresh(
+        &mut self,
+        vm: &ids::Vm,
+        digest: u64,
+        unconfirmed: bool,
+        now: clock::Moment,
+    ) -> bool {
         let Some(report) = self.reports.get_mut(vm) else {
             return false;
         };
@@ -63,6 +72,7 @@
             return false;
         }
         report.heard = now;
+        report.unconfirmed = unconfirmed;
         true
     }
 
@@ -71,6 +81,13 @@
         self.reports.retain(|vm, _| vms.contains(vm));
     }
 
+    /// VMs that have their documents from other members only; some of them.
+    pub(super) fn unconfirmed(&self) -> Vec<ids::Vm> {
+        let reports = self.reports.iter().filter(|(_, report)| report.unconfirmed);
+        let vms = reports.map(|(vm, _)| vm.clone());
+        vms.take(status::MAX_BEHIND).collect()
+    }
+
     /// How many of `vms` apply `wanted` or something newer.
     pub(super) fn count<'a>(
         &self,
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -7,11 +7,25 @@
 pub mod records;
 pub mod tally;
 
+mod calls;
+mod cold_start;
+mod control;
+mod documents;
+mod drain;
 mod fanout;
+mod generations;
 mod outage;
+mod overload;
 mod registrations;
+mod replica_loss;
 mod report;
+pub mod searches;
+mod shed;
+mod silent;
+mod stop;
 mod straggler;
+mod usage;
+mod vm_loss;
 
 pub use report::Report;
 
@@ -68,8 +82,19 @@
 pub const SCENARIOS: &[Scenario] = &[
     straggler::SCENARIO,
     fanout::SCENARIO,
+    overload::SCENARIO,
+    shed::SCENARIO,
+    cold_start::SCENARIO,
+    drain::SCENARIO,
+    replica_loss::SCENARIO,
+    silent::SCENARIO,
     registrations::SCENARIO,
     outage::SCENARIO,
+    stop::SCENARIO,
+    vm_loss::SCENARIO,
+    control::SCENARIO,
+    calls::SCENARIO,
+    documents::SCENARIO,
 ];
 
 /// The scenario of that name.
