--- a/crates/geraniumgauge/src/vm/wiring.rs
+++ b/crates/geraniumgauge/src/vm/wiring.rs
@@ -31,6 +31,7 @@
     timer: timer::Service,
     metrics: metrics::Metrics,
     meter: figures::Meter,
+    client: store::Client,
     store: sync::Arc<dyn store::Api>,
     catalog: document::Catalog,
 }
@@ -49,6 +50,7 @@
             clock,
             metrics,
             meter,
+            client: store.clone(),
             store: sync::Arc::new(store),
             catalog: document::Catalog::default(),
         })
@@ -65,6 +67,7 @@
         address: net::SocketAddr,
     ) -> vm::Duties {
         let member = self.member(socket, address);
+        tokio::spawn(self.client.clone().follow(member.view()));
         let dispatch = sync::Arc::new(dispatch::Dispatch::default());
         let mesh = self.mesh(listener, &member, sync::Arc::clone(&dispatch) as _);
         let post: sync::Arc<dyn mesh::Post> = sync::Arc::clone(&mesh) as _;
