--- a/crates/geraniumgauge/src/rate.rs
+++ b/crates/geraniumgauge/src/rate.rs
@@ -216,6 +216,15 @@
         }
     }
 
+    /// Follows a new rate and burst. Tokens held stay, up to the new burst:
+    /// changing often fills nothing.
+    pub fn resize(&mut self, rate: PerSecond, burst: f64, now: time::Moment) {
+        self.take(0.0, now);
+        self.rate = rate;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Takes `count` tokens where they are there.
     pub fn take(&mut self, count: f64, now: time::Moment) -> bool {
         let gained = now.since(self.seen).as_secs_f64() * self.rate.0;
--- a/crates/geraniumgauge/src/store/budget.rs
+++ b/crates/geraniumgauge/src/store/budget.rs
@@ -54,22 +54,23 @@
 }
 
 impl Pair {
-    fn new(fleet: f64, vms: usize, full: bool, now: time::Moment) -> Self {
-        let rate = (fleet / vms.max(1) as f64).max(LEAST);
-        let bucket = |rate: f64| {
-            let burst = (rate * BURST_SECONDS).max(4.0);
-            let mut bucket = rate::Bucket::new(rate::PerSecond(rate), burst, now);
-            if !full {
-                bucket.take(burst, now);
-            }
-            bucket
-        };
+    fn new(fleet: f64, vms: usize, now: time::Moment) -> Self {
+        let rate = share(fleet, vms);
+        let bucket = |rate: f64| rate::Bucket::new(rate::PerSecond(rate), burst(rate), now);
         Self {
             all: bucket(rate),
             patient: bucket(rate * PATIENT_PART),
         }
     }
 
+    fn resize(&mut self, fleet: f64, vms: usize, now: time::Moment) {
+        let rate = share(fleet, vms);
+        let patient = rate * PATIENT_PART;
+        self.all.resize(rate::PerSecond(rate), burst(rate), now);
+        self.patient
+            .resize(rate::PerSecond(patient), burst(patient), now);
+    }
+
     fn take(&mut self, urgency: Urgency, now: time::Moment) -> bool {
         let allowed = match urgency {
             Urgency::First => true,
@@ -79,26 +80,31 @@
     }
 }
 
+/// Calls a second of one of `vms` VMs.
+fn share(fleet: f64, vms: usize) -> f64 {
+    (fleet / vms.max(1) as f64).max(LEAST)
+}
+
+fn burst(rate: f64) -> f64 {
+    (rate * BURST_SECONDS).max(4.0)
+}
+
 impl Budget {
     /// The full budget of one of `vms` VMs.
     pub(super) fn new(vms: usize, now: time::Moment) -> Self {
-        Self::of(vms, true, now)
-    }
-
-    /// Follows the size of the fleet. The new share starts empty: a view that
-    /// changes often would fill it each time.
-    pub(super) fn resize(&mut self, vms: usize, now: time::Moment) {
-        *self = Self::of(vms, false, now);
-    }
-
-    fn of(vms: usize, full: bool, now: time::Moment) -> Self {
         Self {
-            reads: Pair::new(FLEET_READS, vms, full, now),
-            writes: Pair::new(FLEET_WRITES, vms, full, now),
+            reads: Pair::new(FLEET_READS, vms, now),
+            writes: Pair::new(FLEET_WRITES, vms, now),
             prepaid: 0,
         }
     }
 
+    /// Follows the size of the fleet. What is left of the share stays.
+    pub(super) fn resize(&mut self, vms: usize, now: time::Moment) {
+        self.reads.resize(FLEET_READS, vms, now);
+        self.writes.resize(FLEET_WRITES, vms, now);
+    }
+
     /// Pays for one urgent write that is about to be made.
     pub(super) fn prepay(&mut self, now: time::Moment) -> bool {
         let paid = self.prepaid > 0 || self.writes.take(Urgency::First, now);
