--- a/crates/geraniumgauge/src/ledger/tests/stories.rs
+++ b/crates/geraniumgauge/src/ledger/tests/stories.rs
@@ -258,3 +258,30 @@
     );
     assert_eq!(world.runs().len(), 1);
 }
+
+/// Story: the store takes seconds for each call. Callers must not be held until
+/// near their deadlines for a claim that won't come.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_does_not_answer_is_refused_early() {
+    let fake = store::Fake::new();
+    let world = calm(HOUR);
+    world.start_with_store(&"vm-0".parse().unwrap(), sync::Arc::new(fake.clone()));
+    fake.fault(|faults| faults.slow = time::Duration::from_secs(30));
+    for (number, most) in [(0, 600), (1, 10), (2, 10)] {
+        let before = world.clock.now();
+        let told = register(&world, 0, &format!("lot-{number}"), small()).await;
+        let refusal = told.unwrap_err();
+        assert_eq!(
+            (refusal.code, refusal.ran),
+            (query::Code::Unavailable, query::Ran::No)
+        );
+        let took = world.clock.now().since(before);
+        assert!(
+            took <= time::Duration::from_millis(most),
+            "{number} took {took:?}"
+        );
+    }
+    fake.fault(|faults| faults.slow = time::Duration::ZERO);
+    tokio::time::sleep(time::Duration::from_secs(31)).await;
+    assert!(register(&world, 0, "lot-3", small()).await.is_ok());
+}
