--- a/crates/geraniumgauge/src/ledger/commit.rs
+++ b/crates/geraniumgauge/src/ledger/commit.rs
@@ -78,6 +78,7 @@
     flight: Option<Flight>,
     failures: u32,
     pause: bool,
+    settled: u64,
     indexes: collections::HashMap<String, collections::HashSet<u128>>,
     verdicts: Vec<(change::Ticket, change::Verdict)>,
 }
@@ -131,9 +132,9 @@
         self.known.is_some() && self.queue.iter().any(changes)
     }
 
-    /// Whether a write in doubt is still to be settled.
-    pub(super) fn in_doubt(&self) -> bool {
-        self.queue.iter().any(|pending| pending.doubted)
+    /// Lost replies that were settled since the last call.
+    pub(super) fn settled(&mut self) -> u64 {
+        std::mem::take(&mut self.settled)
     }
 
     /// Whether the store has failed often enough to refuse claims.
@@ -192,8 +193,9 @@
             }
             taken += 1;
         }
-        let changes = self.queue.drain(..taken).collect();
+        let changes: Vec<_> = self.queue.drain(..taken).collect();
         if !changed {
+            self.settled += doubted(&changes);
             self.verdicts.extend(verdicts);
             self.aged();
             return None;
@@ -259,6 +261,7 @@
                     size,
                     fresh: true,
                 });
+                self.settled += doubted(&flight.changes);
                 self.verdicts.extend(flight.verdicts);
             }
             Err(store::Error::Conflict { .. }) => {
@@ -334,6 +337,11 @@
     }
 }
 
+/// One where any of the changes was in doubt: they shared a write.
+fn doubted(changes: &[Pending]) -> u64 {
+    u64::from(changes.iter().any(|pending| pending.doubted))
+}
+
 /// The hashes of a page's keys.
 fn hashes(page: &head::Page, body: &[u8]) -> Option<collections::HashSet<u128>> {
     if page.hashes {
--- a/crates/geraniumgauge/src/ledger/meter.rs
+++ b/crates/geraniumgauge/src/ledger/meter.rs
@@ -65,8 +65,8 @@
         self.commits.add(1, &[label]);
     }
 
-    pub(super) fn unsure_settled(&self) {
-        self.settled.add(1, &[]);
+    pub(super) fn unsure_settled(&self, count: u64) {
+        self.settled.add(count, &[]);
     }
 
     pub(super) fn repeat(&self, state: &'static str) {
--- a/crates/geraniumgauge/src/ledger/tests/commit.rs
+++ b/crates/geraniumgauge/src/ledger/tests/commit.rs
@@ -105,6 +105,7 @@
     objects.put("head", body, condition).unwrap();
     commit.written(Err(unsure()));
     assert_eq!(until_idle(&mut commit, &mut objects), 0);
+    assert_eq!(commit.settled(), 1);
     let verdicts = commit.verdicts();
     assert!(
         matches!(verdicts[..], [(_, change::Verdict::Granted)]),
--- a/crates/geraniumgauge/src/ledger/worker.rs
+++ b/crates/geraniumgauge/src/ledger/worker.rs
@@ -179,6 +179,7 @@
     }
 
     fn deliver(&mut self) {
+        self.parts.meter.unsure_settled(self.commit.settled());
         for (ticket, verdict) in self.commit.verdicts() {
             if let change::Verdict::Dropped(pages) = &verdict {
                 self.garbage.extend(pages.iter().cloned());
@@ -232,12 +233,8 @@
         let done = self.patiently(store.put(&key, body, condition)).await;
         self.note(done.as_ref().err());
         self.parts.meter.commit(done.as_ref().err());
-        let doubted = self.commit.in_doubt();
         let well = done.is_ok();
         self.commit.written(done);
-        if doubted && !self.commit.in_doubt() {
-            self.parts.meter.unsure_settled();
-        }
         self.deliver();
         self.paced = self.parts.clock.now() + PACE;
         if well {
