--- a/crates/standin/src/measure/registrations.rs
+++ b/crates/standin/src/measure/registrations.rs
@@ -33,6 +33,23 @@
 /// Writes a claim of the plain way: one object a request, claim and outcome.
 const PLAIN_WRITES: f64 = 2.0;
 
+/// Figures, and the counters of the VMs that they are sums of.
+const COUNTERS: [(&str, &str); 4] = [
+    ("repeats", "geraniumgauge_ledger_repeats"),
+    (
+        "store_replies_lost",
+        "geraniumgauge_ledger_commits_total{result=\"unsure\"",
+    ),
+    (
+        "store_replies_settled",
+        "geraniumgauge_ledger_unsure_settled",
+    ),
+    (
+        "store_conflicts",
+        "geraniumgauge_ledger_commits_total{result=\"conflict\"",
+    ),
+];
+
 async fn run(context: measure::Context) -> Result<measure::outcome::Outcome, measure::Error> {
     let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
     config.seed = context.seed;
@@ -117,6 +134,7 @@
         doubles: 0.3,
         tries: 4,
     };
+    let before = counted(site).await?;
     let freezes = freeze(site);
     let sent = records::send(site, SERVICE, &plan, context.seed + 100);
     let (frozen, tally) = tokio::join!(freezes, sent);
@@ -129,6 +147,9 @@
     let mut faulty = tally.outcome(site.service(SERVICE));
     faulty.figure("freezes", frozen as f64);
     faulty.figure("unsettled", unsettled.len() as f64);
+    for ((name, _), (then, now)) in COUNTERS.iter().zip(before.iter().zip(counted(site).await?)) {
+        faulty.figure(*name, now - then);
+    }
     tally
         .check_record(site, SERVICE, &unsettled, &mut faulty)
         .await?;
@@ -136,6 +157,22 @@
     Ok(())
 }
 
+/// The sums of [`COUNTERS`] over all VMs.
+async fn counted(site: &site::Site) -> Result<Vec<f64>, measure::Error> {
+    let client = reqwest::Client::new();
+    let mut text = String::new();
+    for node in &site.nodes {
+        let url = format!("http://{}/metrics", node.operators());
+        text.push_str(&client.get(url).send().await?.text().await?);
+    }
+    let sum = |prefix: &str| {
+        let lines = text.lines().filter(|line| line.starts_with(prefix));
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        values.sum()
+    };
+    Ok(COUNTERS.iter().map(|(_, prefix)| sum(prefix)).collect())
+}
+
 /// Pauses one VM after another while registrations run.
 async fn freeze(site: &site::Site) -> u64 {
     let rounds = FAULTY_SPAN.as_millis() / FREEZE_EVERY.as_millis();
