--- a/crates/standin/src/measure/calls.rs
+++ b/crates/standin/src/measure/calls.rs
@@ -83,7 +83,7 @@
         let tally = straggler::searches(&site, SERVICE, RATE, SPAN, seed, DEADLINE).await?;
         let count = tally.sent() as f64;
         out.violations.extend(tally.outcome(0).violations);
-        processor.push((usage::processor("vm-") - spent).as_secs_f64() * 1e6 / count);
+        processor.push(usage::processor_since("vm-", spent).as_secs_f64() * 1e6 / count);
         frames.push((usage::sum(&site.nodes, "mesh_frames_sent").await - sent) / count);
         bytes.push((usage::sum(&site.nodes, "mesh_bytes_sent").await - written) / count);
     }
@@ -188,7 +188,7 @@
         for _ in 0..RUNS {
             let spent = usage::processor("");
             send(&pair, burst, count).await;
-            processor.push((usage::processor("") - spent).as_secs_f64() * 1e6 / count as f64);
+            processor.push(usage::processor_since("", spent).as_secs_f64() * 1e6 / count as f64);
         }
         usage::Spread::of(processor).figure(&format!("{name}_processor_us"), &mut out);
     }
--- a/crates/standin/src/measure/control.rs
+++ b/crates/standin/src/measure/control.rs
@@ -163,7 +163,7 @@
         let (spent, told) = (usage::processor(""), sent(all));
         tokio::time::sleep(WINDOW).await;
         let each = all.len() as f64 * WINDOW.as_secs_f64();
-        processor.push((usage::processor("") - spent).as_secs_f64() * 100.0 / each);
+        processor.push(usage::processor_since("", spent).as_secs_f64() * 100.0 / each);
         bytes.push((sent(all) - told) / each);
     }
     usage::Spread::of(processor).figure("quiet_core_percent", out);
@@ -188,7 +188,7 @@
         tokio::time::sleep(WINDOW).await;
         let each = all.len() as f64;
         bytes.push((sent(all) - told) / each);
-        processor.push((usage::processor("") - spent).as_secs_f64() * 1e3 / each);
+        processor.push(usage::processor_since("", spent).as_secs_f64() * 1e3 / each);
     }
     usage::Spread::of(took).figure("change_heard_ms", out);
     // With what is sent in a quiet time of the same length.
@@ -248,7 +248,7 @@
         let (spent, counts) = (usage::processor("vm-"), site.platform.state().counts());
         tokio::time::sleep(WINDOW).await;
         let each = count as f64 * WINDOW.as_secs_f64();
-        processor.push((usage::processor("vm-") - spent).as_secs_f64() * 100.0 / each);
+        processor.push(usage::processor_since("vm-", spent).as_secs_f64() * 100.0 / each);
         let now = site.platform.state().counts();
         let kinds = [
             now.get - counts.get,
--- a/crates/standin/src/measure/usage.rs
+++ b/crates/standin/src/measure/usage.rs
@@ -54,6 +54,12 @@
     time::Duration::from_nanos(nanos.sum())
 }
 
+/// Processor time since `earlier` was read. Threads that ended meanwhile take
+/// theirs along, so it's a lower bound, and never below zero.
+pub(super) fn processor_since(name: &str, earlier: time::Duration) -> time::Duration {
+    processor(name).saturating_sub(earlier)
+}
+
 /// Resident memory of this process, in bytes.
 pub(super) fn memory() -> f64 {
     let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
