--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -200,7 +200,7 @@
     match &status.document {
         document::Verdict::Refused { findings, .. } => Err(failure::Failure::Findings {
             findings: findings.clone(),
-            ending: "the document accepted before stays in force; mend them and apply again",
+            ending: "a document accepted before stays in force; mend them and apply again",
         }),
         document::Verdict::SetBack { .. } => Err(failure::Failure::Refused(format!(
             "the store was set back to an older state while this was written, and version \
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -102,7 +102,7 @@
             names.join(", ")
         ));
     }
-    lines.extend(verdict(&status.document));
+    lines.extend(verdict(status));
     lines.extend(listed("the layout was refused:", &status.layout_findings));
     if status.layout.0 == 0 {
         let service = &status.service;
@@ -133,15 +133,18 @@
     format!("; not yet or not heard of at {}", names.join(", "))
 }
 
-fn verdict(verdict: &document::Verdict) -> Vec<String> {
-    match verdict {
+fn verdict(status: &document::Status) -> Vec<String> {
+    match &status.document {
         document::Verdict::Accepted { version } => {
             vec![format!("document version {version}: accepted")]
         }
         document::Verdict::Refused { version, findings } => {
-            let head = format!(
-                "document version {version}: refused, the one accepted before stays in force"
-            );
+            let stays = if status.generation.0 == 0 {
+                "nothing was accepted before, so every request is refused"
+            } else {
+                "the one accepted before stays in force"
+            };
+            let head = format!("document version {version}: refused, {stays}");
             listed(&head, findings)
         }
         document::Verdict::Vanished => vec![
