--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -4,20 +4,28 @@
 pub mod check;
 pub mod load;
 pub mod outcome;
+pub mod records;
 pub mod tally;
 
+mod calls;
 mod cold_start;
+mod control;
 mod documents;
 mod drain;
 mod fanout;
 mod generations;
+mod outage;
 mod overload;
+mod registrations;
 mod replica_loss;
 mod report;
 pub mod searches;
 mod shed;
 mod silent;
+mod stop;
 mod straggler;
+mod usage;
+mod vm_loss;
 
 pub use report::Report;
 
@@ -80,6 +88,12 @@
     drain::SCENARIO,
     replica_loss::SCENARIO,
     silent::SCENARIO,
+    registrations::SCENARIO,
+    outage::SCENARIO,
+    stop::SCENARIO,
+    vm_loss::SCENARIO,
+    control::SCENARIO,
+    calls::SCENARIO,
     documents::SCENARIO,
 ];
 
