Documents: reports of changes only, answers only with newer contents

Change: VMs report what changed; peers send only what is newer; watchers are asked from the sixth question on.

--- a/crates/geraniumgauge/src/document/frames.rs
+++ b/crates/geraniumgauge/src/document/frames.rs
@@ -11,9 +11,13 @@
 const FRAME: usize = 256 << 10;
 
 /// Asks for both parts of some services.
-pub(super) fn wanted(services: Vec<String>) -> message::Body {
+pub(super) fn wanted(held: &held::Held, services: &[ids::Service]) -> message::Body {
     message::Body::Pull(message::Pull {
-        services,
+        services: services.iter().map(ToString::to_string).collect(),
+        have: services
+            .iter()
+            .map(|service| held.have_of(service))
+            .collect(),
         ..message::Pull::default()
     })
 }
--- a/crates/geraniumgauge/src/document/held.rs
+++ b/crates/geraniumgauge/src/document/held.rs
@@ -138,6 +138,24 @@
         self.services.iter().map(have).collect()
     }
 
+    /// What is applied of one service; zeros where nothing is.
+    pub(super) fn have_of(&self, service: &ids::Service) -> message::Have {
+        message::Have {
+            service: service.to_string(),
+            generation: self.version(service, Kind::Document),
+            layout: self.version(service, Kind::Layout),
+        }
+    }
+
+    /// Whether something held of one service is newer than what a peer told.
+    pub(super) fn exceeds_one(&self, theirs: &message::Have) -> bool {
+        let Ok(service) = theirs.service.parse() else {
+            return false;
+        };
+        let mine = self.have_of(&service);
+        mine.generation > theirs.generation || mine.layout > theirs.layout
+    }
+
     /// Whether something held is newer than what a peer told.
     pub(super) fn exceeds(&self, theirs: &[message::Have]) -> bool {
         let by_service = theirs.iter().map(|have| (have.service.as_str(), have));
--- a/crates/geraniumgauge/src/document/spread.rs
+++ b/crates/geraniumgauge/src/document/spread.rs
@@ -99,7 +99,7 @@
             rumoured: collections::BTreeMap::new(),
             tally: tally::Tally::default(),
             join: join::Join::new(now),
-            report: report::Report::default(),
+            report: report::Report::new(now),
             compare: now,
             push: now,
             random: rand::rngs::StdRng::seed_from_u64(seed),
@@ -153,11 +153,7 @@
 
     /// How far the versions of `service` have got.
     pub(super) fn count(&self, service: &ids::Service, now: clock::Moment) -> tally::Count {
-        let wanted = message::Have {
-            service: service.to_string(),
-            generation: self.held.version(service, held::Kind::Document),
-            layout: self.held.version(service, held::Kind::Layout),
-        };
+        let wanted = self.held.have_of(service);
         self.tally.count(&wanted, self.roles.all.iter(), now)
     }
 
@@ -214,39 +210,38 @@
 
     fn pull(&mut self, from: &ids::Vm, pull: message::Pull, now: clock::Moment) {
         if !pull.services.is_empty() {
-            return self.answer(from, &pull.services);
+            return self.answer(from, &pull);
         }
         let keeper = self.roles.keeper() == Some(&self.local);
         // The sender may be the only VM that holds something.
         self.compared(from, &pull.have, now);
-        // A VM that holds nothing reports an empty list; asked for the full form,
-        // it would send the same again at once and for ever.
-        let full = !pull.have.is_empty() || pull.digest == held::digest(&[]);
-        let known = match (keeper, full) {
-            (false, _) => true,
-            (true, false) => self.tally.refresh(from, pull.digest, pull.unconfirmed, now),
-            (true, true) => {
-                self.tally.report(from, pull.have, pull.unconfirmed, now);
-                true
-            }
+        let (digest, unconfirmed) = (pull.digest, pull.unconfirmed);
+        let known = !keeper || self.tally.take(from, pull.have, digest, unconfirmed, now);
+        let differs = digest != self.digest;
+        let have = if differs {
+            self.held.have()
+        } else {
+            Vec::new()
         };
-        let differs = pull.digest != self.digest;
         let reply = message::Pulled {
             entries: Vec::new(),
             digest: self.digest,
-            have: if differs {
-                self.held.have()
-            } else {
-                Vec::new()
-            },
+            have,
             tell: keeper && !known,
             settled: self.join.ready(),
         };
         self.send(from, message::Body::Pulled(reply));
     }
 
-    fn answer(&mut self, from: &ids::Vm, services: &[String]) {
-        let known = services.iter().filter_map(|name| name.parse().ok());
+    /// Sends what is wanted and newer than what the asker has. An asker that
+    /// gets nothing asks elsewhere.
+    fn answer(&mut self, from: &ids::Vm, pull: &message::Pull) {
+        let newer = |name: &&String| {
+            let theirs = pull.have.iter().find(|have| have.service == **name);
+            theirs.is_none_or(|theirs| self.held.exceeds_one(theirs))
+        };
+        let known = pull.services.iter().filter(newer);
+        let known = known.filter_map(|name| name.parse().ok());
         let entries = known.filter_map(|service| self.held.entry(&service));
         for body in frames::entries(entries.collect()) {
             self.send(from, body);
@@ -269,8 +264,10 @@
         self.push(from, &pulled.have, now);
         self.join.answered(from, pulled.settled);
         let keeper = self.roles.keeper() == Some(from);
-        if keeper && pulled.tell {
-            self.report.renew(now);
+        match (keeper, pulled.tell) {
+            (true, true) => self.report.renew(now),
+            (true, false) => self.report.fits(now),
+            (false, _) => {}
         }
     }
 
@@ -284,11 +281,12 @@
             self.want(&service, held::Kind::Document, theirs.generation, now);
             self.want(&service, held::Kind::Layout, theirs.layout, now);
             if self.wanted.asked(&service, now) {
-                newer.push(theirs.service.clone());
+                newer.push(service);
             }
         }
         if !newer.is_empty() {
-            self.send(from, frames::wanted(newer));
+            let frame = frames::wanted(&self.held, &newer);
+            self.send(from, frame);
         }
     }
 
@@ -341,8 +339,8 @@
             want::Whom::Watchers => &self.roles.others,
         };
         if let Some(peer) = peer.choose(&mut self.random).cloned() {
-            let names = due.services.iter().map(ToString::to_string).collect();
-            self.send(&peer, frames::wanted(names));
+            let frame = frames::wanted(&self.held, &due.services);
+            self.send(&peer, frame);
         }
     }
 
@@ -353,12 +351,13 @@
         let unconfirmed = !self.join.confirmed();
         if keeper == self.local {
             let have = self.held.have();
-            return self.tally.report(&self.local, have, unconfirmed, now);
+            let digest = self.digest;
+            self.tally.take(&self.local, have, digest, unconfirmed, now);
+            return;
         }
-        let have = match self.report.next(&keeper, self.digest, now) {
-            None => return,
-            Some(report::Form::Short) => Vec::new(),
-            Some(report::Form::Full) => self.held.have(),
+        let held = &self.held;
+        let Some(have) = self.report.next(&keeper, || held.have(), now) else {
+            return;
         };
         let pull = message::Pull {
             digest: self.digest,
@@ -396,3 +395,7 @@
 #[cfg(test)]
 #[path = "tests/spread.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "tests/scale.rs"]
+mod scale;
--- a/crates/geraniumgauge/src/document/tally.rs
+++ b/crates/geraniumgauge/src/document/tally.rs
@@ -21,7 +21,7 @@
 
 #[derive(Debug)]
 struct Report {
-    digest: u64,
+    /// Ordered by service.
     have: Vec<message::Have>,
     unconfirmed: bool,
     heard: clock::Moment,
@@ -37,42 +37,32 @@
 }
 
 impl Tally {
-    /// Keeps a full report, ordered by service.
-    pub(super) fn report(
+    /// Takes a report: every service, only those that changed, or none. False
+    /// where `digest` shows that a full one is needed.
+    pub(super) fn take(
         &mut self,
         vm: &ids::Vm,
         mut have: Vec<message::Have>,
+        digest: u64,
         unconfirmed: bool,
         now: clock::Moment,
-    ) {
+    ) -> bool {
         have.sort_by(|a, b| a.service.cmp(&b.service));
-        let digest = held::digest(&have);
+        if held::digest(&have) != digest {
+            let Some(present) = self.reports.get(vm) else {
+                return false;
+            };
+            have = merge(&present.have, have);
+        }
+        if held::digest(&have) != digest {
+            return false;
+        }
         let report = Report {
-            digest,
             have,
             unconfirmed,
             heard: now,
         };
         self.reports.insert(vm.clone(), report);
-    }
-
-    /// A VM says that it applies what it reported before; false where the
-    /// digest shows something else, so that a full report is needed.
-    pub(super) fn refresh(
-        &mut self,
-        vm: &ids::Vm,
-        digest: u64,
-        unconfirmed: bool,
-        now: clock::Moment,
-    ) -> bool {
-        let Some(report) = self.reports.get_mut(vm) else {
-            return false;
-        };
-        if report.digest != digest {
-            return false;
-        }
-        report.heard = now;
-        report.unconfirmed = unconfirmed;
         true
     }
 
@@ -120,3 +110,11 @@
             })
     }
 }
+
+/// `before` with what changed since, ordered by service.
+fn merge(before: &[message::Have], changed: Vec<message::Have>) -> Vec<message::Have> {
+    let all = before.iter().cloned().chain(changed);
+    let by_service = all.map(|have| (have.service.clone(), have));
+    let merged: collections::BTreeMap<_, _> = by_service.collect();
+    merged.into_values().collect()
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/document/tests/scale.rs
@@ -0,0 +1,208 @@
+//! The machines of a whole fleet on one clock, with frames that take a
+//! millisecond and rumours that take up to two seconds.
+
+use std::cmp;
+
+use super::*;
+
+const VMS: usize = 2200;
+const SERVICES: u8 = 20;
+const MILLI: u64 = 1000;
+
+/// Something that happens at one VM at some time.
+struct Due {
+    at: clock::Moment,
+    order: u64,
+    vm: usize,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    /// The earliest is the greatest, for a heap.
+    fn cmp(&self, other: &Self) -> cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+struct Fleet {
+    vms: Vec<Spread>,
+    names: collections::BTreeMap<ids::Vm, usize>,
+    queue: collections::BinaryHeap<Due>,
+    order: u64,
+    now: clock::Moment,
+    random: rand::rngs::StdRng,
+    /// When each VM applied something last.
+    applied: Vec<Option<clock::Moment>>,
+    /// Contents that each VM sent to others.
+    served: Vec<u64>,
+    frames: Vec<u64>,
+    fetched: u64,
+}
+
+fn vm(index: usize) -> ids::Vm {
+    format!("vm-{index:04}").parse().unwrap()
+}
+
+fn centre(index: usize) -> ids::DataCentre {
+    format!("dc-{}", index % 3).parse().unwrap()
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        let member = |index| member::Member {
+            vm: vm(index),
+            incarnation: ids::Incarnation(1),
+            data_centre: centre(index),
+            address: "127.0.0.1:1".parse().unwrap(),
+            state: member::State::Alive,
+        };
+        let members: Vec<_> = (0..VMS).map(member).collect();
+        let mut fleet = Self {
+            vms: Vec::new(),
+            names: (0..VMS).map(|index| (vm(index), index)).collect(),
+            queue: collections::BinaryHeap::new(),
+            order: 0,
+            now: clock::Moment(0),
+            random: rand::rngs::StdRng::seed_from_u64(seed),
+            applied: vec![None; VMS],
+            served: vec![0; VMS],
+            frames: vec![0; VMS],
+            fetched: 0,
+        };
+        for index in 0..VMS {
+            let seed = seed.wrapping_mul(VMS as u64) + index as u64;
+            let mut spread = Spread::new(vm(index), seed, fleet.now);
+            let view = member::View::new(vm(index), members.clone());
+            let roles = roles::Roles::of(&view, &centre(index));
+            spread.handle(Event::View(roles), fleet.now);
+            for service in 0..SERVICES {
+                let part = part(1);
+                let name = format!("service-{service}").parse().unwrap();
+                spread.handle(Event::Stored(name, held::Kind::Document, part), fleet.now);
+            }
+            spread.handle(Event::Loaded, fleet.now);
+            fleet.vms.push(spread);
+            let first = fleet.random.random_range(0..100 * MILLI);
+            fleet.later(first, index, Event::Tick);
+        }
+        fleet
+    }
+
+    fn later(&mut self, micros: u64, vm: usize, event: Event) {
+        self.order += 1;
+        let at = clock::Moment(self.now.0 + micros);
+        self.queue.push(Due {
+            at,
+            order: self.order,
+            vm,
+            event,
+        });
+    }
+
+    fn run(&mut self, until: clock::Moment, lose_rumours: f64) {
+        while self.queue.peek().is_some_and(|due| due.at <= until) {
+            let Some(due) = self.queue.pop() else { return };
+            self.now = due.at;
+            if matches!(due.event, Event::Tick) {
+                self.later(100 * MILLI, due.vm, Event::Tick);
+            }
+            self.event(due.vm, due.event, lose_rumours);
+        }
+        self.now = until;
+    }
+
+    fn event(&mut self, index: usize, event: Event, lose_rumours: f64) {
+        for action in self.vms[index].handle(event, self.now) {
+            match action {
+                Action::Apply(..) => self.applied[index] = Some(self.now),
+                Action::Send(to, body) => self.send(index, &to, body),
+                Action::Publish(rumour) => {
+                    for vm in 0..VMS {
+                        let delay = self.random.random_range(0..2000 * MILLI);
+                        if !self.random.random_bool(lose_rumours) {
+                            self.later(delay, vm, Event::Rumour(rumour.clone()));
+                        }
+                    }
+                }
+                Action::Fetch(_) => self.fetched += 1,
+                Action::Ready(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &ids::Vm, body: message::Body) {
+        let at = self.names[to];
+        self.frames[at] += 1;
+        let event = match body {
+            message::Body::Pull(pull) => Event::Pull(vm(from), pull),
+            message::Body::Pulled(pulled) => {
+                self.served[from] += pulled.entries.len() as u64;
+                Event::Pulled(vm(from), pulled)
+            }
+            _ => unreachable!("only pulls are sent"),
+        };
+        self.later(MILLI, at, event);
+    }
+}
+
+fn part(version: u64) -> held::Part {
+    let document = crate::document::Document::default();
+    held::Part {
+        version,
+        body: serde_json::to_vec(&document).unwrap().into(),
+        object: ids::ObjectVersion(version),
+    }
+}
+
+/// Story: one edit at the largest fleet. If every VM asked the few watchers at
+/// once, these would be slow just then, and the last VMs would apply the edit
+/// late. All must have it within six seconds, and no VM may have to serve more
+/// than a small part of the fleet.
+#[test]
+fn an_edit_reaches_the_largest_fleet_in_time_and_overloads_nobody() {
+    let lose_rumours = 0.3;
+    let mut fleet = Fleet::new(2);
+    let settled = clock::Moment(12_000 * MILLI);
+    fleet.run(settled, 0.0);
+    fleet.applied.fill(None);
+    fleet.served.fill(0);
+    fleet.frames.fill(0);
+    // All watchers read the accepted record when their watches report it.
+    for watcher in fleet.vms[0].roles().watchers.clone() {
+        let service = "service-3".parse().unwrap();
+        let edit = Event::Stored(service, held::Kind::Document, part(2));
+        let delay = fleet.random.random_range(0..100 * MILLI);
+        fleet.later(delay, fleet.names[&watcher], edit);
+    }
+    fleet.run(settled + time::Duration::from_secs(6), lose_rumours);
+    let last = fleet.applied.iter().copied().collect::<Option<Vec<_>>>();
+    let last = last
+        .and_then(|all| all.into_iter().max())
+        .expect("all apply it");
+    let served = fleet.served.iter().max().unwrap();
+    let frames = fleet.frames.iter().max().unwrap();
+    let mean = fleet.frames.iter().sum::<u64>() / VMS as u64;
+    println!(
+        "lost rumours {lose_rumours}: last after {:?}, most contents served by one VM \
+         {served}, frames in 6 s: most at one VM {frames}, mean {mean}, store reads {}",
+        last.since(settled),
+        fleet.fetched
+    );
+    assert!(*served < VMS as u64 / 10, "{served} contents from one VM");
+    assert!(*frames < 2 * VMS as u64, "{frames} frames at one VM");
+    assert!(fleet.fetched < 10, "VMs had to ask the store");
+}
--- a/crates/geraniumgauge/src/document/want.rs
+++ b/crates/geraniumgauge/src/document/want.rs
@@ -11,7 +11,7 @@
 const RETRY: time::Duration = time::Duration::from_millis(250);
 /// Questions to random peers before the watchers are asked, who read the store:
 /// else the whole fleet would ask these few at once.
-const TRIES_AT_PEERS: u32 = 2;
+const TRIES_AT_PEERS: u32 = 5;
 /// Every so many questions, the store is asked instead.
 const STORE_EACH: u32 = 8;
 /// Questions after which a version that nobody has is given up: the VMs that
--- a/crates/geraniumgauge/src/mesh/message.rs
+++ b/crates/geraniumgauge/src/mesh/message.rs
@@ -376,7 +376,8 @@
     /// Digest of what the sender applies; 0 where it doesn't say.
     #[prost(fixed64, tag = "2")]
     pub digest: u64,
-    /// What the sender applies, as its report to the keeper; else empty.
+    /// What the sender applies: of the services wanted, or as its report to the
+    /// keeper, all or what changed.
     #[prost(message, repeated, tag = "3")]
     pub have: Vec<Have>,
     /// The sender started while the store was out: what it applies was told by
