--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -11,6 +11,8 @@
 mod cold_start;
 mod control;
 mod documents;
+mod crash_query;
+mod crossed;
 mod drain;
 mod fanout;
 mod generations;
@@ -27,6 +29,7 @@
 mod together;
 mod usage;
 mod vm_loss;
+mod versions;
 
 pub use report::Report;
 
@@ -97,6 +100,9 @@
     calls::SCENARIO,
     documents::SCENARIO,
     together::SCENARIO,
+    crossed::SCENARIO,
+    versions::SCENARIO,
+    crash_query::SCENARIO,
 ];
 
 /// The scenario of that name.
