--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -2,13 +2,20 @@
 
 use std::time;
 
+/// comfy-table's codes for nothing but a line below the heads.
+const HEAD_LINE: &str = "     ──            ";
+
 /// A table under `heads`.
 pub(crate) fn table(heads: &[&str], rows: Vec<Vec<String>>) -> String {
     let mut table = comfy_table::Table::new();
-    table.load_preset(comfy_table::presets::UTF8_HORIZONTAL_ONLY);
+    table.load_preset(HEAD_LINE);
     table.set_header(heads.iter().copied());
     table.add_rows(rows);
-    table.to_string()
+    let lines: Vec<_> = table
+        .lines()
+        .map(|line| line.trim_end().to_owned())
+        .collect();
+    lines.join("\n")
 }
 
 /// How long ago something was, in one unit.
--- a/crates/cli/src/tests/apply.rs
+++ b/crates/cli/src/tests/apply.rs
@@ -51,6 +51,7 @@
         in_force: 8,
         vms: 8,
         behind: Vec::new(),
+        unconfirmed: Vec::new(),
         retired: false,
         keeper: "vm-1".parse().unwrap(),
         written: geraniumgauge::time::Wall(0),
--- a/crates/cli/src/unsettled.rs
+++ b/crates/cli/src/unsettled.rs
@@ -4,6 +4,7 @@
 use geraniumgauge::time;
 
 use crate::failure;
+use crate::status;
 use crate::table;
 use crate::verbs;
 
@@ -11,6 +12,7 @@
 pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
     let service = call.service()?;
     let store = call.store()?;
+    status::known(&store, &service).await?;
     let found = ledger::unsettled(&store, &service).await?;
     if call.has("--json") {
         println!("{}", table::json(&found));
--- a/crates/geraniumgauge/src/document/fields.rs
+++ b/crates/geraniumgauge/src/document/fields.rs
@@ -88,7 +88,7 @@
         required: true,
         doc: "The team that owns the service.",
         kind: jsonc::Kind::Text {
-            form: "name of letters, digits and . _ : -",
+            form: "a name of letters, digits and . _ : -",
             get: |kept| Some(kept.team.to_string()),
             set: |kept, text| {
                 let team = text.parse::<crate::ids::Team>();
--- a/crates/geraniumgauge/src/home/placement.rs
+++ b/crates/geraniumgauge/src/home/placement.rs
@@ -38,6 +38,9 @@
     /// Would be the standby if one of the two went. It serves calls of VMs
     /// that already see it as a home, within a small allowance.
     Next,
+    /// One of many that call the upstream without knowing of each other; only
+    /// of [`Cache::direct`].
+    Direct,
 }
 
 /// What `vm` is to `upstream` by `view`; `None` where it is no home of it.
@@ -109,6 +112,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Cache {
     known: sync::Arc<sync::Mutex<Known>>,
+    direct: bool,
 }
 
 #[derive(Debug, Default)]
@@ -141,6 +145,16 @@
 }
 
 impl Cache {
+    /// A cache by which every VM is the one home of every upstream: it calls
+    /// them itself and shares no knowledge of their slots with the others. Only
+    /// a baseline to measure homes against.
+    pub fn direct() -> Self {
+        Self {
+            direct: true,
+            ..Self::default()
+        }
+    }
+
     /// As [`Homes::of`].
     pub fn of(
         &self,
@@ -148,6 +162,12 @@
         upstream: &layout::Upstream,
         service: &ids::Service,
     ) -> Homes {
+        if self.direct {
+            return Homes {
+                primary: view.local.clone(),
+                standby: None,
+            };
+        }
         let mut known = self.known(view);
         let homes = known.homes.entry(place(upstream, service));
         homes
@@ -163,6 +183,9 @@
         service: &ids::Service,
         vm: &ids::Vm,
     ) -> Option<Role> {
+        if self.direct {
+            return Some(Role::Direct);
+        }
         let mut known = self.known(view);
         let known = known.roles.entry(place(upstream, service));
         *known.or_insert_with(|| role(view, upstream, service, vm))
--- a/crates/geraniumgauge/src/jsonc/tests.rs
+++ b/crates/geraniumgauge/src/jsonc/tests.rs
@@ -63,7 +63,7 @@
         required: false,
         doc: "Seeds.",
         kind: Kind::Texts {
-            form: "seed",
+            form: "a seed",
             get: |values| values.seeds.clone(),
             push: |values, seed| {
                 values.seeds.push(seed.to_owned());
@@ -101,9 +101,9 @@
         [
             "a.jsonc:1:10: name: it holds a space; remove it",
             "a.jsonc:2:10: stop.wiat_ms: unknown key; did you mean \"stop.wait_ms\"? Otherwise remove it",
-            "a.jsonc:3:10: share: 2 is out of range; give a number, 0 to 1",
+            "a.jsonc:3:10: share: 2 is out of range; give a number from 0 to 1",
             "a.jsonc:4:7: on: a text stands here; give true or false",
-            "a.jsonc:5:11: seeds[0]: a number stands here; give seed",
+            "a.jsonc:5:11: seeds[0]: a number stands here; give a seed",
             "a.jsonc:5:15: on: written twice, first at line 4; keep one of them",
         ]
     );
--- a/crates/geraniumgauge/src/slo/series.rs
+++ b/crates/geraniumgauge/src/slo/series.rs
@@ -94,11 +94,6 @@
         sum
     }
 
-    /// Start of the oldest slice.
-    pub fn oldest(&self) -> Option<clock::Wall> {
-        self.slices.iter().map(|slice| slice.start).min()
-    }
-
     /// Start and counts of every slice, oldest first.
     pub fn points(&self) -> Vec<(clock::Wall, &slo::Counts)> {
         let slices = self.slices.iter();
--- a/crates/geraniumgauge/src/store/budget.rs
+++ b/crates/geraniumgauge/src/store/budget.rs
@@ -43,6 +43,8 @@
 pub(super) struct Budget {
     reads: Pair,
     writes: Pair,
+    /// Writes paid for that were not made yet.
+    prepaid: u32,
 }
 
 #[derive(Debug)]
@@ -53,17 +55,22 @@
 
 impl Pair {
     fn new(fleet: f64, vms: usize, now: time::Moment) -> Self {
-        let rate = (fleet / vms.max(1) as f64).max(LEAST);
-        let bucket = |rate: f64| {
-            let burst = (rate * BURST_SECONDS).max(4.0);
-            rate::Bucket::new(rate::PerSecond(rate), burst, now)
-        };
+        let rate = share(fleet, vms);
+        let bucket = |rate: f64| rate::Bucket::new(rate::PerSecond(rate), burst(rate), now);
         Self {
             all: bucket(rate),
             patient: bucket(rate * PATIENT_PART),
         }
     }
 
+    fn resize(&mut self, fleet: f64, vms: usize, now: time::Moment) {
+        let rate = share(fleet, vms);
+        let patient = rate * PATIENT_PART;
+        self.all.resize(rate::PerSecond(rate), burst(rate), now);
+        self.patient
+            .resize(rate::PerSecond(patient), burst(patient), now);
+    }
+
     fn take(&mut self, urgency: Urgency, now: time::Moment) -> bool {
         let allowed = match urgency {
             Urgency::First => true,
@@ -73,17 +80,44 @@
     }
 }
 
+/// Calls a second of one of `vms` VMs.
+fn share(fleet: f64, vms: usize) -> f64 {
+    (fleet / vms.max(1) as f64).max(LEAST)
+}
+
+fn burst(rate: f64) -> f64 {
+    (rate * BURST_SECONDS).max(4.0)
+}
+
 impl Budget {
-    /// The budget of one of `vms` VMs.
+    /// The full budget of one of `vms` VMs.
     pub(super) fn new(vms: usize, now: time::Moment) -> Self {
         Self {
             reads: Pair::new(FLEET_READS, vms, now),
             writes: Pair::new(FLEET_WRITES, vms, now),
+            prepaid: 0,
         }
     }
 
+    /// Follows the size of the fleet. What is left of the share stays.
+    pub(super) fn resize(&mut self, vms: usize, now: time::Moment) {
+        self.reads.resize(FLEET_READS, vms, now);
+        self.writes.resize(FLEET_WRITES, vms, now);
+    }
+
+    /// Pays for one urgent write that is about to be made.
+    pub(super) fn prepay(&mut self, now: time::Moment) -> bool {
+        let paid = self.prepaid > 0 || self.writes.take(Urgency::First, now);
+        self.prepaid = self.prepaid.max(u32::from(paid));
+        paid
+    }
+
     /// Pays for one call where the budget holds it.
     pub(super) fn take(&mut self, kind: Kind, urgency: Urgency, now: time::Moment) -> bool {
+        if kind == Kind::Write && urgency == Urgency::First && self.prepaid > 0 {
+            self.prepaid -= 1;
+            return true;
+        }
         match kind {
             Kind::Read => self.reads.take(urgency, now),
             Kind::Write => self.writes.take(urgency, now),
