Scenario drain: calls that run when their upstreams begin to drain

Cause: the check for cut calls looked for calls without an end, which a cut doesn't leave; it could not fail. Change: a part without hedges drains upstreams under long calls; any cancelled call is a violation.

--- a/crates/standin/src/measure/drain.rs
+++ b/crates/standin/src/measure/drain.rs
@@ -33,14 +33,24 @@
 const DRAIN: time::Duration = time::Duration::from_secs(4);
 const LAG_MS: u64 = 1500;
 
-/// What a leaving upstream was sent and what became of it.
+/// Calls that must run at upstreams when they begin to drain.
+const ENOUGH: usize = 4;
+/// How long these calls run, and how long one cut by the drain may take to show.
+const LONG: time::Duration = time::Duration::from_millis(200);
+
+/// What a leaving upstream was sent.
 struct Seen {
     upstream: String,
     late: u64,
-    unfinished: u64,
     back: u64,
 }
 
+/// What became of calls that ran when their upstreams began to drain.
+struct Cut {
+    running: usize,
+    cancelled: u64,
+}
+
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
     let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
     config.policy = context.policy;
@@ -76,9 +86,48 @@
     for (name, seen) in [("lagging", lags), ("lying", lies)] {
         seen.into_outcome(name, &mut out);
     }
+    drop(site);
+    long_calls(context).await?.into_outcome(&mut out);
     Ok(out)
 }
 
+/// Drains one upstream of each shard while long calls run there. Without
+/// hedges, no call has a reason to be cancelled.
+async fn long_calls(context: measure::Context) -> Result<Cut, measure::Error> {
+    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, 4)]);
+    config.policy = match context.policy {
+        query::Policy::Full => query::Policy::NoHedge,
+        other => other,
+    };
+    config.seed = context.seed;
+    let site = site::Site::start(config).await?;
+    let service = site.service(SERVICE);
+    let leaving = || (0..4).map(|shard| service.replica(shard, 0).state());
+    let delay = u64::try_from(LONG.as_millis()).unwrap_or_default();
+    leaving().for_each(|state| state.set_faults(|faults| faults.delay_ms = delay));
+    let drains = async {
+        let running = || leaving().map(upstream::State::running).sum::<usize>();
+        while running() < ENOUGH {
+            tokio::time::sleep(time::Duration::from_millis(1)).await;
+        }
+        let running = running();
+        let before = service.counts().cancelled;
+        leaving().for_each(|state| state.set_faults(|faults| faults.draining = true));
+        tokio::time::sleep(LONG).await;
+        let cancelled = service.counts().cancelled - before;
+        Cut { running, cancelled }
+    };
+    let span = time::Duration::from_secs(3);
+    let load = searches::Load {
+        rate: 60.0,
+        span,
+        seed: context.seed,
+    };
+    let (found, cut) = tokio::join!(searches::send(&site, SERVICE, load), drains);
+    found?;
+    Ok(cut)
+}
+
 async fn drain(server: &upstream::Server, lies: bool) -> Seen {
     let state = server.state();
     tokio::time::sleep(START).await;
@@ -92,7 +141,6 @@
     let early = state.counts();
     tokio::time::sleep(DRAIN).await;
     let late = state.counts();
-    let unfinished = late.started.saturating_sub(late.finished + late.cancelled);
     state.set_faults(|faults| {
         faults.draining = false;
         faults.health_lie = None;
@@ -101,7 +149,6 @@
     Seen {
         upstream: state.config().id.to_string(),
         late: late.arrived_draining - early.arrived_draining,
-        unfinished,
         back: state.counts().started - late.started,
     }
 }
@@ -114,8 +161,15 @@
             let seen = format!("{}: {} calls arrived", self.upstream, self.late);
             out.violate(NO_NEW_WORK, "-", seen);
         }
-        if self.unfinished > 0 {
-            let seen = format!("{}: {} calls have no end", self.upstream, self.unfinished);
+    }
+}
+
+impl Cut {
+    fn into_outcome(self, out: &mut outcome::Outcome) {
+        out.figure("running_at_drain", self.running as f64);
+        out.figure("cancelled_at_drain", self.cancelled as f64);
+        if self.cancelled > 0 {
+            let seen = format!("{} of {} calls", self.cancelled, self.running);
             out.violate(NOT_CUT, "-", seen);
         }
     }
