--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -6,6 +6,7 @@
 use geraniumgauge::time;
 
 use crate::failure;
+use crate::status;
 use crate::table;
 use crate::verbs;
 
@@ -19,6 +20,7 @@
         .transpose()?;
     let store = call.store()?;
     let now = time::Clock::start().wall();
+    status::known(&store, &service).await?;
     let report = slo::report(&store, &service, now).await?;
     if let (Some(file), Some(draw)) = (output, draw) {
         let drawn = draw(&report).map_err(|error| failure::Failure::Refused(error.to_string()))?;
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -15,8 +15,13 @@
         usage: String,
     },
     /// A text has findings.
-    #[display("{}", list(_0))]
-    Findings(Vec<finding::Finding>),
+    #[display("{}; {ending}", list(findings))]
+    Findings {
+        /// Everything wrong with it.
+        findings: Vec<finding::Finding>,
+        /// What that means for what is in force.
+        ending: &'static str,
+    },
     /// Refused, in conflict, or nothing to show.
     #[display("geraniumgauge: {_0}")]
     Refused(String),
@@ -30,11 +35,19 @@
     pub(crate) fn code(&self) -> u8 {
         match self {
             Self::Usage { .. } => 2,
-            Self::Findings(_) | Self::Refused(_) | Self::Store(_) => 1,
+            Self::Findings { .. } | Self::Refused(_) | Self::Store(_) => 1,
         }
     }
 }
 
+impl Failure {
+    /// Findings of a text that was not written.
+    pub(crate) fn unwritten(findings: Vec<finding::Finding>) -> Self {
+        let ending = "mend them; nothing was written";
+        Self::Findings { findings, ending }
+    }
+}
+
 impl From<store::Error> for Failure {
     fn from(error: store::Error) -> Self {
         Self::Store(error)
@@ -45,10 +58,7 @@
     let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
     let count = lines.len();
     let things = if count == 1 { "finding" } else { "findings" };
-    format!(
-        "{}\n{count} {things}; nothing was written",
-        lines.join("\n")
-    )
+    format!("{}\n{count} {things}", lines.join("\n"))
 }
 
 fn remedy(error: &store::Error) -> &'static str {
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -48,6 +48,19 @@
     })
 }
 
+/// Fails where nothing is accepted for a service: a mistyped name must not read
+/// like a service without faults.
+pub(crate) async fn known(
+    store: &store::Client,
+    service: &ids::Service,
+) -> Result<(), failure::Failure> {
+    match store.get(&document::accepted_key(service)).await {
+        Ok(_) => Ok(()),
+        Err(store::Error::Missing { .. }) => Err(unknown(store, service).await),
+        Err(error) => Err(error.into()),
+    }
+}
+
 /// The failure that a service has no status, with those that have one.
 pub(crate) async fn unknown(store: &store::Client, service: &ids::Service) -> failure::Failure {
     let listing = match store.list(document::STATUS).await {
@@ -82,7 +95,14 @@
         status.vms,
         behind(status)
     ));
-    lines.extend(verdict(&status.document));
+    if !status.unconfirmed.is_empty() {
+        let names: Vec<_> = status.unconfirmed.iter().map(ToString::to_string).collect();
+        lines.push(format!(
+            "started while the store was out, and apply what the other VMs told: {}",
+            names.join(", ")
+        ));
+    }
+    lines.extend(verdict(status));
     lines.extend(listed("the layout was refused:", &status.layout_findings));
     if status.layout.0 == 0 {
         let service = &status.service;
@@ -113,15 +133,18 @@
     format!("; not yet or not heard of at {}", names.join(", "))
 }
 
-fn verdict(verdict: &document::Verdict) -> Vec<String> {
-    match verdict {
+fn verdict(status: &document::Status) -> Vec<String> {
+    match &status.document {
         document::Verdict::Accepted { version } => {
             vec![format!("document version {version}: accepted")]
         }
         document::Verdict::Refused { version, findings } => {
-            let head = format!(
-                "document version {version}: refused, the one accepted before stays in force"
-            );
+            let stays = if status.generation.0 == 0 {
+                "nothing was accepted before, so every request is refused"
+            } else {
+                "the one accepted before stays in force"
+            };
+            let head = format!("document version {version}: refused, {stays}");
             listed(&head, findings)
         }
         document::Verdict::Vanished => vec![
--- a/crates/geraniumgauge/src/document/held.rs
+++ b/crates/geraniumgauge/src/document/held.rs
@@ -138,6 +138,36 @@
         self.services.iter().map(have).collect()
     }
 
+    /// What is applied of one service; zeros where nothing is.
+    pub(super) fn have_of(&self, service: &ids::Service) -> message::Have {
+        message::Have {
+            service: service.to_string(),
+            generation: self.version(service, Kind::Document),
+            layout: self.version(service, Kind::Layout),
+        }
+    }
+
+    /// Whether something held of one service is newer than what a peer told.
+    pub(super) fn exceeds_one(&self, theirs: &message::Have) -> bool {
+        let Ok(service) = theirs.service.parse() else {
+            return false;
+        };
+        let mine = self.have_of(&service);
+        mine.generation > theirs.generation || mine.layout > theirs.layout
+    }
+
+    /// Whether something held is newer than what a peer told.
+    pub(super) fn exceeds(&self, theirs: &[message::Have]) -> bool {
+        let by_service = theirs.iter().map(|have| (have.service.as_str(), have));
+        let theirs: collections::BTreeMap<_, _> = by_service.collect();
+        self.services.iter().any(|(service, parts)| {
+            let theirs = theirs.get(service.as_str());
+            theirs.is_none_or(|theirs| {
+                parts.document.version > theirs.generation || parts.layout.version > theirs.layout
+            })
+        })
+    }
+
     /// A digest of [`Self::have`], never 0. Equal digests mean equal versions.
     pub(super) fn digest(&self) -> u64 {
         digest(&self.have())
@@ -162,9 +192,8 @@
 pub(super) fn digest(have: &[message::Have]) -> u64 {
     use prost::Message as _;
     let whole = message::Pull {
-        services: Vec::new(),
-        digest: 0,
         have: have.to_vec(),
+        ..message::Pull::default()
     };
     xxhash_rust::xxh3::xxh3_64(&whole.encode_to_vec()) | 1
 }
--- a/crates/geraniumgauge/src/document/join.rs
+++ b/crates/geraniumgauge/src/document/join.rs
@@ -66,6 +66,11 @@
         self.ready
     }
 
+    /// Whether the store has confirmed what is held since the start.
+    pub(super) fn confirmed(&self) -> bool {
+        self.loaded
+    }
+
     pub(super) fn loaded(&mut self) {
         self.loaded = true;
     }
--- a/crates/geraniumgauge/src/jsonc/field.rs
+++ b/crates/geraniumgauge/src/jsonc/field.rs
@@ -76,11 +76,13 @@
     /// The type and range, as a reader would say it.
     pub fn form(&self) -> String {
         match self {
-            Self::Whole { min, max, unit, .. } => format!("whole number, {min} to {max} {unit}"),
-            Self::Number { min, max, .. } => format!("number, {min} to {max}"),
+            Self::Whole { min, max, unit, .. } => {
+                format!("a whole number from {min} to {max} {unit}")
+            }
+            Self::Number { min, max, .. } => format!("a number from {min} to {max}"),
             Self::Flag { .. } => "true or false".to_owned(),
             Self::Text { form, .. } => (*form).to_owned(),
-            Self::Texts { form, .. } => format!("list of {form}"),
+            Self::Texts { form, .. } => format!("a list, each {form}"),
         }
     }
 
--- a/crates/geraniumgauge/src/ledger/commit.rs
+++ b/crates/geraniumgauge/src/ledger/commit.rs
@@ -78,6 +78,7 @@
     flight: Option<Flight>,
     failures: u32,
     pause: bool,
+    settled: u64,
     indexes: collections::HashMap<String, collections::HashSet<u128>>,
     verdicts: Vec<(change::Ticket, change::Verdict)>,
 }
@@ -125,9 +126,15 @@
         self.queue.is_empty() && self.flight.is_none()
     }
 
-    /// Whether a write in doubt is still to be settled.
-    pub(super) fn in_doubt(&self) -> bool {
-        self.queue.iter().any(|pending| pending.doubted)
+    /// Whether a write is likely to come next.
+    pub(super) fn is_due(&self) -> bool {
+        let changes = |pending: &Pending| !matches!(pending.change, change::Change::Look(_));
+        self.known.is_some() && self.queue.iter().any(changes)
+    }
+
+    /// Lost replies that were settled since the last call.
+    pub(super) fn settled(&mut self) -> u64 {
+        std::mem::take(&mut self.settled)
     }
 
     /// Whether the store has failed often enough to refuse claims.
@@ -186,8 +193,9 @@
             }
             taken += 1;
         }
-        let changes = self.queue.drain(..taken).collect();
+        let changes: Vec<_> = self.queue.drain(..taken).collect();
         if !changed {
+            self.settled += doubted(&changes);
             self.verdicts.extend(verdicts);
             self.aged();
             return None;
@@ -253,6 +261,7 @@
                     size,
                     fresh: true,
                 });
+                self.settled += doubted(&flight.changes);
                 self.verdicts.extend(flight.verdicts);
             }
             Err(store::Error::Conflict { .. }) => {
@@ -307,6 +316,11 @@
         if self.failures < PATIENCE {
             return;
         }
+        self.refuse(reason);
+    }
+
+    /// Refuses the claims that wait and can't be in the store.
+    pub(super) fn refuse(&mut self, reason: &str) {
         let refusable = |pending: &Pending| match pending.change {
             change::Change::Claim(..) => !pending.doubted,
             change::Change::Look(_) => true,
@@ -323,6 +337,11 @@
     }
 }
 
+/// One where any of the changes was in doubt: they shared a write.
+fn doubted(changes: &[Pending]) -> u64 {
+    u64::from(changes.iter().any(|pending| pending.doubted))
+}
+
 /// The hashes of a page's keys.
 fn hashes(page: &head::Page, body: &[u8]) -> Option<collections::HashSet<u128>> {
     if page.hashes {
--- a/crates/geraniumgauge/src/store/client.rs
+++ b/crates/geraniumgauge/src/store/client.rs
@@ -6,7 +6,10 @@
 use std::sync;
 use std::time;
 
+use tokio::sync::watch;
+
 use crate::ids;
+use crate::member;
 use crate::store;
 use crate::store::budget;
 use crate::store::calls;
@@ -22,7 +25,7 @@
 /// Longest wait for the VM's own budget of calls.
 const BUDGET_WAIT: time::Duration = time::Duration::from_secs(2);
 /// How often a waiting call looks at the budget again.
-const BUDGET_STEP: time::Duration = time::Duration::from_millis(20);
+const BUDGET_STEP: time::Duration = time::Duration::from_millis(5);
 /// VMs that a budget is made for until [`Client::fleet`] says how many there are.
 const FLEET: usize = 8;
 
@@ -69,8 +72,22 @@
 
     /// Shares the store's rates among `vms` VMs.
     pub fn fleet(&self, vms: usize) {
-        let mut budget = self.lock();
-        *budget = budget::Budget::new(vms, self.clock.now());
+        self.lock().resize(vms, self.clock.now());
+    }
+
+    /// Shares the store's rates among the members of `view`, until it ends.
+    pub async fn follow(self, mut view: watch::Receiver<member::Shared>) {
+        let mut known = FLEET;
+        loop {
+            let vms = view.borrow_and_update().members.len();
+            if vms != known {
+                self.fleet(vms);
+                known = vms;
+            }
+            if view.changed().await.is_err() {
+                return;
+            }
+        }
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, budget::Budget> {
@@ -179,6 +196,13 @@
         done
     }
 
+    async fn ready(&self, _key: &str) {
+        let until = self.clock.now() + BUDGET_WAIT;
+        while !self.lock().prepay(self.clock.now()) && self.clock.now() < until {
+            tokio::time::sleep(BUDGET_STEP).await;
+        }
+    }
+
     async fn delete(&self, key: &str, condition: store::Condition) -> Result<(), store::Error> {
         let done = self.write(key, None, condition).await;
         self.calls.count(calls::Kind::Delete, done.as_ref().err());
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -4,18 +4,32 @@
 pub mod check;
 pub mod load;
 pub mod outcome;
+pub mod records;
 pub mod tally;
 
+mod calls;
 mod cold_start;
+mod control;
+mod documents;
+mod crash_query;
+mod crossed;
 mod drain;
 mod fanout;
+mod generations;
+mod outage;
 mod overload;
+mod registrations;
 mod replica_loss;
 mod report;
 pub mod searches;
 mod shed;
 mod silent;
+mod stop;
 mod straggler;
+mod together;
+mod usage;
+mod vm_loss;
+mod versions;
 
 pub use report::Report;
 
@@ -78,6 +92,17 @@
     drain::SCENARIO,
     replica_loss::SCENARIO,
     silent::SCENARIO,
+    registrations::SCENARIO,
+    outage::SCENARIO,
+    stop::SCENARIO,
+    vm_loss::SCENARIO,
+    control::SCENARIO,
+    calls::SCENARIO,
+    documents::SCENARIO,
+    together::SCENARIO,
+    crossed::SCENARIO,
+    versions::SCENARIO,
+    crash_query::SCENARIO,
 ];
 
 /// The scenario of that name.
