The property without silence answers calls before they are suspect

The bound of one call a slot holds only without suspects. Change: such calls are answered before time passes; the bound stays as strict.

--- a/crates/geraniumgauge/src/home/tests/fake.rs
+++ b/crates/geraniumgauge/src/home/tests/fake.rs
@@ -52,6 +52,8 @@
     pub(super) links: collections::BTreeSet<Link>,
     pub(super) answers: Vec<(Id, message::Outcome)>,
     pub(super) sent: Vec<(Id, Link, bool)>,
+    /// When the calls at the upstream were sent.
+    pub(super) since: collections::BTreeMap<Link, Moment>,
     pub(super) closed: Vec<(Link, Why)>,
     pub(super) cancels: Vec<Link>,
     pub(super) proving: Vec<Link>,
@@ -71,6 +73,7 @@
             links: collections::BTreeSet::new(),
             answers: Vec::new(),
             sent: Vec::new(),
+            since: collections::BTreeMap::new(),
             closed: Vec::new(),
             cancels: Vec::new(),
             proving: Vec::new(),
@@ -93,6 +96,7 @@
             } => {
                 assert_eq!(fresh, self.links.insert(link), "{link}");
                 self.sent.push((job.id.clone(), link, fresh));
+                self.since.insert(link, self.now);
                 assert!(self.flying.insert(link, job).is_none(), "{link} is in use");
             }
             Action::Prove { link, fresh } => {
--- a/crates/geraniumgauge/src/home/tests/state.rs
+++ b/crates/geraniumgauge/src/home/tests/state.rs
@@ -94,12 +94,26 @@
                     self.random
                         .random_range(1..if self.silence { 400 } else { 4 }),
                 );
+                self.answer_old(span);
                 self.bench.pass(span);
             }
         }
         self.check(before);
     }
 
+    /// Without silence, no call stays unanswered until it is suspect.
+    fn answer_old(&mut self, span: time::Duration) {
+        let now = self.bench.now;
+        let is_old = |link: &Link| now.since(self.bench.since[link]) + span >= millis(10);
+        let flying = self.bench.flying.keys().copied();
+        let mut old: Vec<_> = flying.filter(is_old).collect();
+        while let Some(link) = old.pop().filter(|_| !self.silence) {
+            if self.bench.flying.contains_key(&link) {
+                self.bench.finish(link, Ended::Done);
+            }
+        }
+    }
+
     fn put_call(&mut self) {
         let deadline = millis(self.random.random_range(1..2000));
         let job = if self.random.random_bool(0.1) {
