An upstream that keeps shedding is left alone for longer

Cause: entries avoided a shedding replica for 20 ms; each call that came back shed cost a retry, and the budget ran out. Change: a shed reply carries a time that grows with the share of calls shed lately, up to 2 s.

--- a/crates/geraniumgauge/src/home/state/limit.rs
+++ b/crates/geraniumgauge/src/home/state/limit.rs
@@ -14,6 +14,11 @@
 /// Doublings of the pause at most.
 const DOUBLINGS: u32 = 6;
 
+/// Weight of one call in the share of sheds.
+const WEIGHT: f64 = 1.0 / 16.0;
+/// How long an upstream that sheds everything is best left alone.
+const LEAVE: time::Duration = time::Duration::from_secs(2);
+
 /// Additive increase, multiplicative decrease, between one call and the slots.
 #[derive(Debug)]
 pub(super) struct Limit {
@@ -22,6 +27,8 @@
     refusals: u32,
     paused_until: Moment,
     cut_at: Moment,
+    /// Share of the last calls that were shed.
+    shed: f64,
 }
 
 impl Limit {
@@ -32,6 +39,7 @@
             refusals: 0,
             paused_until: Moment::default(),
             cut_at: Moment::default(),
+            shed: 0.0,
         }
     }
 
@@ -46,14 +54,23 @@
         self.paused_until
     }
 
+    /// How long calls had better go elsewhere after a shed. One shed says
+    /// little; of an upstream that keeps shedding, each call that comes back
+    /// costs its entry a retry from a small budget.
+    pub(super) fn leave_alone(&self) -> time::Duration {
+        LEAVE.mul_f64(self.shed)
+    }
+
     pub(super) fn succeeded(&mut self) {
         self.refusals = 0;
+        self.shed -= self.shed * WEIGHT;
         self.limit = (self.limit + GROWTH).min(f64::from(self.slots));
     }
 
     /// The upstream refused a call or failed it. Calls sent before the last
     /// cut tell of the old limit and don't cut again.
     pub(super) fn failed(&mut self, sent: Moment, now: Moment) {
+        self.shed += (1.0 - self.shed) * WEIGHT;
         if sent < self.cut_at {
             return;
         }
--- a/crates/geraniumgauge/src/home/state/running.rs
+++ b/crates/geraniumgauge/src/home/state/running.rs
@@ -160,7 +160,7 @@
         {
             let mut answer = busy.answer(outcome, Some(reply), now);
             if outcome == message::Outcome::Shed {
-                answer.retry_after = self.times.mean();
+                answer.retry_after = self.times.mean().max(self.limit.leave_alone());
             }
             self.actions.push(Action::Answer(answer));
         }
