--- a/crates/geraniumgauge/src/ledger/tests/mod.rs
+++ b/crates/geraniumgauge/src/ledger/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Failure tests of the whole ledger over a store, homes and links that fail.
 
+mod link;
 mod property;
 mod stories;
 mod world;
--- a/crates/geraniumgauge/src/ledger/tests/world.rs
+++ b/crates/geraniumgauge/src/ledger/tests/world.rs
@@ -10,17 +10,14 @@
 use rand::SeedableRng as _;
 use tokio::sync::watch;
 
+use super::link;
 use crate::document;
 use crate::ids;
 use crate::layout;
 use crate::ledger;
 use crate::member;
-use crate::mesh;
 use crate::mesh::message;
 use crate::metrics;
-use crate::quarantine;
-use crate::query;
-use crate::slo;
 use crate::store;
 use crate::time as clock;
 use crate::timer;
@@ -38,7 +35,7 @@
 
 /// One start of a VM.
 pub(super) struct Node {
-    vm: ids::Vm,
+    pub(super) vm: ids::Vm,
     dead: atomic::AtomicBool,
     service: sync::OnceLock<ledger::Service>,
 }
@@ -48,12 +45,12 @@
         self.service.get().unwrap()
     }
 
-    fn is_dead(&self) -> bool {
+    pub(super) fn is_dead(&self) -> bool {
         self.dead.load(atomic::Ordering::Relaxed)
     }
 
     /// What a dead VM was about to do never happens.
-    async fn gate(&self) {
+    pub(super) async fn gate(&self) {
         if self.is_dead() {
             std::future::pending::<()>().await;
         }
@@ -62,7 +59,7 @@
 
 pub(super) struct World {
     rng: sync::Mutex<rand::rngs::StdRng>,
-    objects: sync::Mutex<store::Objects>,
+    pub(super) objects: sync::Mutex<store::Objects>,
     nodes: sync::Mutex<collections::BTreeMap<ids::Vm, sync::Arc<Node>>>,
     runs: sync::Mutex<Vec<Run>>,
     pub(super) faults: atomic::AtomicU64,
@@ -87,7 +84,7 @@
     format!("vm-{number}").parse().unwrap()
 }
 
-fn millis(millis: u64) -> time::Duration {
+pub(super) fn millis(millis: u64) -> time::Duration {
     time::Duration::from_millis(millis)
 }
 
@@ -174,7 +171,7 @@
             dead: atomic::AtomicBool::new(false),
             service: sync::OnceLock::new(),
         });
-        let link = sync::Arc::new(Link {
+        let link = sync::Arc::new(link::Link {
             world: self.clone(),
             node: node.clone(),
         });
@@ -241,7 +238,7 @@
     }
 
     /// Draws a fault; none once the world is calm.
-    fn fault(&self, share: f64) -> bool {
+    pub(super) fn fault(&self, share: f64) -> bool {
         let drawn = !self.calm.load(atomic::Ordering::Relaxed) && self.chance(share);
         if drawn {
             self.faults.fetch_add(1, atomic::Ordering::Relaxed);
@@ -250,7 +247,7 @@
     }
 
     /// Sometimes the VM is lost here, for good; another may take its name.
-    fn maybe_die(self: &sync::Arc<Self>, node: &sync::Arc<Node>) {
+    pub(super) fn maybe_die(self: &sync::Arc<Self>, node: &sync::Arc<Node>) {
         if !self.fault(0.01) {
             return;
         }
@@ -269,7 +266,7 @@
 
     /// The VM is paused here: the time goes by at once, so its timers and the
     /// reply that it waits for are both due when it wakes.
-    async fn maybe_pause(&self) {
+    pub(super) async fn maybe_pause(&self) {
         if self.fault(0.02) {
             tokio::time::advance(millis(self.below(3000))).await;
         } else if self.fault(0.05) {
@@ -289,7 +286,12 @@
     }
 
     /// A home and its upstream, as the claimant sees them.
-    async fn home(self: sync::Arc<Self>, from: ids::Vm, home: ids::Vm, record: message::Record) {
+    pub(super) async fn home(
+        self: sync::Arc<Self>,
+        from: ids::Vm,
+        home: ids::Vm,
+        record: message::Record,
+    ) {
         use message::Outcome;
         self.maybe_pause().await;
         tokio::time::sleep(millis(1 + self.below(20))).await;
@@ -344,7 +346,12 @@
     }
 
     /// A frame between VMs: delivered, late, or lost with its link.
-    async fn deliver(self: sync::Arc<Self>, from: ids::Vm, to: ids::Vm, body: message::Body) {
+    pub(super) async fn deliver(
+        self: sync::Arc<Self>,
+        from: ids::Vm,
+        to: ids::Vm,
+        body: message::Body,
+    ) {
         tokio::time::sleep(millis(1 + self.below(3))).await;
         let node = self.nodes.lock().unwrap().get(&to).cloned().unwrap();
         let lost = self.fault(0.06) || node.is_dead();
@@ -364,146 +371,3 @@
         }
     }
 }
-
-/// What one start of a VM sees of the world.
-struct Link {
-    world: Shared,
-    node: sync::Arc<Node>,
-}
-
-impl Link {
-    /// A write, with what can go wrong before, during and after it.
-    async fn write<T>(
-        &self,
-        key: &str,
-        change: impl Fn(&mut store::Objects) -> Result<T, store::Error> + Send + 'static,
-    ) -> Result<T, store::Error> {
-        let world = &self.world;
-        self.node.gate().await;
-        world.maybe_die(&self.node);
-        world.maybe_pause().await;
-        self.node.gate().await;
-        let unsure = || {
-            Err(store::Error::Unsure {
-                key: key.to_owned(),
-                reason: "the reply was lost".to_owned(),
-            })
-        };
-        tokio::time::sleep(millis(1 + world.below(5))).await;
-        if world.fault(0.05) {
-            return Err(down());
-        }
-        if world.fault(0.03) {
-            return unsure();
-        }
-        if world.fault(0.04) {
-            // The write arrives after its writer has been told nothing.
-            let world = world.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(millis(world.below(400))).await;
-                let _ = change(&mut world.objects.lock().unwrap());
-            });
-            return unsure();
-        }
-        let done = change(&mut world.objects.lock().unwrap());
-        world.maybe_die(&self.node);
-        world.maybe_pause().await;
-        self.node.gate().await;
-        if world.fault(0.06) {
-            return unsure();
-        }
-        done
-    }
-}
-
-fn down() -> store::Error {
-    let reason = "down".to_owned();
-    store::Error::Unavailable { reason }
-}
-
-#[async_trait::async_trait]
-impl store::Api for Link {
-    async fn get(&self, key: &str) -> Result<store::Object, store::Error> {
-        self.node.gate().await;
-        tokio::time::sleep(millis(1 + self.world.below(5))).await;
-        if self.world.fault(0.05) {
-            return Err(down());
-        }
-        let found = self.world.objects.lock().unwrap().get(key);
-        self.world.maybe_pause().await;
-        self.node.gate().await;
-        found
-    }
-
-    async fn put(
-        &self,
-        key: &str,
-        body: bytes::Bytes,
-        condition: store::Condition,
-    ) -> Result<ids::ObjectVersion, store::Error> {
-        let name = key.to_owned();
-        let change =
-            move |objects: &mut store::Objects| objects.put(&name, body.clone(), condition);
-        self.write(key, change).await
-    }
-
-    async fn delete(&self, key: &str, condition: store::Condition) -> Result<(), store::Error> {
-        let name = key.to_owned();
-        let change = move |objects: &mut store::Objects| objects.delete(&name, condition);
-        self.write(key, change).await
-    }
-
-    async fn list(&self, prefix: &str) -> Result<store::Listing, store::Error> {
-        Ok(self.world.objects.lock().unwrap().list(prefix))
-    }
-
-    async fn watch(
-        &self,
-        prefix: &str,
-        after: ids::Revision,
-        _wait: time::Duration,
-    ) -> Result<store::Listing, store::Error> {
-        Ok(self.world.objects.lock().unwrap().changes(prefix, after))
-    }
-
-    async fn vms(&self) -> Result<Vec<store::Vm>, store::Error> {
-        Ok(Vec::new())
-    }
-}
-
-impl mesh::Post for Link {
-    fn send(&self, to: &ids::Vm, body: message::Body) -> Result<(), mesh::Error> {
-        if self.node.is_dead() {
-            return Ok(());
-        }
-        if self.world.fault(0.03) {
-            return Err(mesh::Error::Full { vm: to.clone() });
-        }
-        self.world.maybe_die(&self.node);
-        let (world, from, to) = (self.world.clone(), self.node.vm.clone(), to.clone());
-        match body {
-            message::Body::Record(record) => tokio::spawn(world.home(from, to, record)),
-            body => tokio::spawn(world.deliver(from, to, body)),
-        };
-        Ok(())
-    }
-}
-
-#[async_trait::async_trait]
-impl ledger::Book for Link {
-    async fn admit(
-        &self,
-        _service: &ids::Service,
-        _fingerprint: ids::Fingerprint,
-    ) -> Result<Option<quarantine::Trial>, query::Refusal> {
-        if self.world.quarantined.load(atomic::Ordering::Relaxed) {
-            let code = query::Code::Quarantined;
-            return Err(query::Refusal::not_run(code, "quarantined"));
-        }
-        Ok(None)
-    }
-}
-
-impl slo::Record for Link {
-    fn record(&self, _event: &slo::Event) {}
-}
