--- a/crates/daemon/src/tests/settings.rs
+++ b/crates/daemon/src/tests/settings.rs
@@ -57,6 +57,17 @@
     assert!(found[0].contains("limits.frame_bytes: a body of 4194304 B"));
 }
 
+/// Story: the form that the help page shows for a setting must be one that it
+/// takes; a policy was shown as `no-hedge` and taken as `NoHedge` only.
+#[test]
+fn every_policy_that_is_offered_is_taken() {
+    for policy in ["full", "no-hedge", "direct"] {
+        let text = EXAMPLE.replacen('{', &format!("{{ \"policy\": \"{policy}\","), 1);
+        let settings = Settings::parse("s", &text).unwrap();
+        assert_eq!(settings.policy.to_string(), policy);
+    }
+}
+
 #[test]
 fn a_file_that_is_not_there_is_a_finding() {
     let found = Settings::read(path::Path::new("no/such/file")).unwrap_err();
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -37,6 +37,8 @@
     derive_more::Display,
     derive_more::FromStr
 )]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 pub enum Policy {
     /// Everything.
     #[default]
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -10,9 +10,9 @@
 mod calls;
 mod cold_start;
 mod control;
-mod documents;
 mod crash_query;
 mod crossed;
+mod documents;
 mod drain;
 mod fanout;
 mod generations;
@@ -28,8 +28,8 @@
 mod straggler;
 mod together;
 mod usage;
-mod vm_loss;
 mod versions;
+mod vm_loss;
 
 pub use report::Report;
 
