vms: what VMs report, from the keeper's own object

Cause: on the authority site a killed VM that the platform still listed read as "all in force", since the table was made of status objects that name at most eight VMs behind. Change: the keeper writes vms/reported (at most every 2 s, where it changed); a listed VM that no other sees is told apart.

--- a/crates/cli/src/vms.rs
+++ b/crates/cli/src/vms.rs
@@ -6,9 +6,10 @@
 use geraniumgauge::ids;
 use geraniumgauge::store;
 use geraniumgauge::store::Api as _;
+use geraniumgauge::time;
 
 use crate::failure;
-use crate::status;
+use crate::show;
 use crate::table;
 use crate::verbs;
 
@@ -20,9 +21,9 @@
     address: Option<String>,
     /// What the platform says.
     platform: &'static str,
-    /// Services at which it is behind or has not reported.
-    behind: Vec<ids::Service>,
-    /// It writes the status objects.
+    /// What the keeper hears; `None` where the VM isn't in its view.
+    reports: Option<document::Report>,
+    /// It gathers the reports and writes the status objects.
     keeper: bool,
 }
 
@@ -30,30 +31,20 @@
 pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
     let store = call.store()?;
     let listed = store.vms().await?;
-    let statuses = statuses(&store).await?;
-    let lines = lines(listed, &statuses);
+    let object = show::object(&store, document::REPORTED).await?;
+    // One that can't be read is written anew by the keeper within a minute.
+    let reported = object.and_then(|object| serde_json::from_slice(&object.body).ok());
+    let lines = lines(listed, reported.as_ref());
     if call.has("--json") {
         println!("{}", table::json(&lines));
-        return Ok(());
+    } else {
+        let now = time::Clock::start().wall();
+        println!("{}", text(&lines, reported.as_ref(), now));
     }
-    println!("{}", text(&lines, &statuses));
     Ok(())
 }
 
-async fn statuses(store: &store::Client) -> Result<Vec<document::Status>, failure::Failure> {
-    let listing = store.list(document::STATUS).await?;
-    let mut statuses = Vec::new();
-    for change in listing.changes {
-        let name = change.key.strip_prefix(document::STATUS).map(str::parse);
-        let Some(Ok(service)) = name else {
-            continue;
-        };
-        statuses.extend(status::read(store, &service).await?);
-    }
-    Ok(statuses)
-}
-
-fn lines(listed: Vec<store::Vm>, statuses: &[document::Status]) -> Vec<Line> {
+fn lines(listed: Vec<store::Vm>, reported: Option<&document::Reported>) -> Vec<Line> {
     let mut lines = collections::BTreeMap::new();
     for vm in listed {
         let line = Line {
@@ -61,40 +52,30 @@
             data_centre: Some(vm.data_centre),
             address: Some(vm.address.to_string()),
             platform: if vm.leaving { "leaving" } else { "live" },
-            behind: Vec::new(),
+            reports: None,
             keeper: false,
         };
         lines.insert(vm.vm, line);
     }
-    for status in statuses {
-        for vm in &status.behind {
-            line(&mut lines, vm).behind.push(status.service.clone());
-        }
-        line(&mut lines, &status.keeper).keeper = true;
+    let seen = reported.into_iter().flat_map(|reported| &reported.vms);
+    for (vm, report) in seen {
+        // The platform's list lags: a VM may be seen that it doesn't show.
+        let line = lines.entry(vm.clone()).or_insert_with(|| Line {
+            vm: vm.clone(),
+            data_centre: None,
+            address: None,
+            platform: "not listed",
+            reports: None,
+            keeper: false,
+        });
+        line.reports = Some(report.clone());
+        line.keeper = reported.is_some_and(|reported| reported.keeper == *vm);
     }
     lines.into_values().collect()
 }
 
-/// The line of a VM that may have left the platform's list, which lags.
-fn line<'l>(lines: &'l mut collections::BTreeMap<ids::Vm, Line>, vm: &ids::Vm) -> &'l mut Line {
-    lines.entry(vm.clone()).or_insert_with(|| Line {
-        vm: vm.clone(),
-        data_centre: None,
-        address: None,
-        platform: "not listed",
-        behind: Vec::new(),
-        keeper: false,
-    })
-}
-
-fn text(lines: &[Line], statuses: &[document::Status]) -> String {
+fn text(lines: &[Line], reported: Option<&document::Reported>, now: time::Wall) -> String {
     let rows = lines.iter().map(|line| {
-        let behind: Vec<_> = line.behind.iter().map(ToString::to_string).collect();
-        let documents = if behind.is_empty() {
-            "all in force".to_owned()
-        } else {
-            format!("behind: {}", behind.join(", "))
-        };
         vec![
             line.vm.to_string(),
             line.data_centre
@@ -103,7 +84,7 @@
                 .unwrap_or_default(),
             line.address.clone().unwrap_or_default(),
             line.platform.to_owned(),
-            documents,
+            told(line.reports.as_ref()),
             if line.keeper { "keeper" } else { "" }.to_owned(),
         ]
     });
@@ -115,15 +96,34 @@
         "documents",
         "",
     ];
-    let mut text = table::table(&heads, rows.collect());
-    let seen = statuses.iter().map(|status| status.vms).max();
-    text.push_str(&match seen {
-        Some(vms) => format!("\n{} listed, {vms} in the keeper's view", listed(lines)),
-        None => "\nno VM has reported: no service has a document, or no VM is ready".to_owned(),
-    });
-    text
+    let table = table::table(&heads, rows.collect());
+    let listed = lines.iter().filter(|line| line.address.is_some()).count();
+    let Some(reported) = reported else {
+        return format!("{table}\n{listed} listed; no VM has reported: none is ready yet");
+    };
+    let (seen, age) = (reported.vms.len(), table::age(now.since(reported.written)));
+    format!(
+        "{table}\n{listed} listed, {seen} in the view of {}, {age} ago",
+        reported.keeper
+    )
 }
 
-fn listed(lines: &[Line]) -> usize {
-    lines.iter().filter(|line| line.address.is_some()).count()
+/// What a VM reports, as a person reads it.
+fn told(report: Option<&document::Report>) -> String {
+    let Some(report) = report else {
+        return "the other VMs don't see it".to_owned();
+    };
+    if !report.heard {
+        return "no report".to_owned();
+    }
+    let behind: Vec<_> = report.behind.iter().map(ToString::to_string).collect();
+    match (behind.is_empty(), report.unconfirmed) {
+        (true, false) => "all in force".to_owned(),
+        (true, true) => "all in force, as other VMs told".to_owned(),
+        (false, _) => format!("behind: {}", behind.join(", ")),
+    }
 }
+
+#[cfg(test)]
+#[path = "tests/vms.rs"]
+mod tests;
--- a/crates/geraniumgauge/src/document/keep.rs
+++ b/crates/geraniumgauge/src/document/keep.rs
@@ -32,6 +32,8 @@
 /// Shortest time between two writes of one service's status: while a version
 /// spreads, its count changes many times a second.
 const REWRITE: time::Duration = time::Duration::from_millis(400);
+/// Shortest time between two writes of what VMs report.
+const REPORTED: time::Duration = time::Duration::from_secs(2);
 /// Status objects written in one tick at most.
 const WRITES: usize = 2;
 
@@ -47,6 +49,7 @@
         due: collections::BTreeMap::new(),
         known: collections::BTreeMap::new(),
         written: collections::BTreeMap::new(),
+        reported: None,
         keeper: false,
         rest_until: clock::Moment::default(),
     };
@@ -58,6 +61,11 @@
     due: collections::BTreeMap<ids::Service, clock::Moment>,
     known: collections::BTreeMap<ids::Service, status::Verdict>,
     written: collections::BTreeMap<ids::Service, (clock::Moment, status::Status)>,
+    /// What VMs reported when that was last written.
+    reported: Option<(
+        clock::Moment,
+        collections::BTreeMap<ids::Vm, status::Report>,
+    )>,
     keeper: bool,
     /// No status is written before: the store has just failed.
     rest_until: clock::Moment,
@@ -128,6 +136,7 @@
         let rank = self.inner.rank();
         if mem::replace(&mut self.keeper, rank == Some(0)) != self.keeper {
             self.written.clear();
+            self.reported = None;
         }
         // A VM that knows of something newer than it holds must not decide.
         let fit = self
@@ -139,6 +148,7 @@
         self.look_at_due().await;
         if self.keeper {
             self.write_status().await;
+            self.write_reported().await;
         }
     }
 
@@ -202,6 +212,43 @@
         }
     }
 
+    /// Writes what VMs report, where it has changed.
+    async fn write_reported(&mut self) {
+        let now = self.inner.clock.now();
+        let since = self.reported.as_ref().map(|(at, _)| now.since(*at));
+        if now < self.rest_until || since.is_some_and(|since| since < REPORTED) {
+            return;
+        }
+        let vms = self.inner.with(|spread| {
+            let applied = spread.held().have();
+            spread.tally().all(&spread.roles().all, &applied, now)
+        });
+        let same = self
+            .reported
+            .as_ref()
+            .is_some_and(|(_, before)| *before == vms);
+        if same && since.is_some_and(|since| since < REFRESH) {
+            return;
+        }
+        let reported = status::Reported {
+            keeper: self.inner.config.vm.clone(),
+            written: self.inner.clock.wall(),
+            vms,
+        };
+        let body = serde_json::to_vec(&reported).unwrap_or_default();
+        let put = self
+            .inner
+            .store
+            .put(status::REPORTED, body.into(), store::Condition::Any);
+        match put.await {
+            Ok(_) => self.reported = Some((now, reported.vms)),
+            Err(error) => {
+                self.rest_until = now + AFTER_FAILURE;
+                log::debug!("what VMs report: {error}");
+            }
+        }
+    }
+
     async fn write_status(&mut self) {
         let now = self.inner.clock.now();
         if now < self.rest_until {
@@ -252,7 +299,11 @@
         let layout = self.inner.catalog.layout(service);
         let (count, vms, unconfirmed) = self.inner.with(|spread| {
             let vms = spread.roles().all.len();
-            (spread.count(service, now), vms, spread.unconfirmed())
+            (
+                spread.count(service, now),
+                vms,
+                spread.tally().unconfirmed(),
+            )
         });
         Some(status::Status {
             service: service.clone(),
--- a/crates/geraniumgauge/src/document/mod.rs
+++ b/crates/geraniumgauge/src/document/mod.rs
@@ -42,6 +42,9 @@
 pub use service::Parts;
 pub use service::Service;
 pub use status::MAX_BEHIND;
+pub use status::REPORTED;
+pub use status::Report;
+pub use status::Reported;
 pub use status::Status;
 pub use status::Verdict;
 
--- a/crates/geraniumgauge/src/document/spread.rs
+++ b/crates/geraniumgauge/src/document/spread.rs
@@ -146,9 +146,9 @@
         self.join.ready()
     }
 
-    /// VMs that apply what other members told, the store being out.
-    pub(super) fn unconfirmed(&self) -> Vec<ids::Vm> {
-        self.tally.unconfirmed()
+    /// What VMs reported to this one.
+    pub(super) fn tally(&self) -> &tally::Tally {
+        &self.tally
     }
 
     /// How far the versions of `service` have got.
--- a/crates/geraniumgauge/src/document/status.rs
+++ b/crates/geraniumgauge/src/document/status.rs
@@ -1,5 +1,7 @@
 //! What operators read back about a service: the object `status/{service}`.
 
+use std::collections;
+
 use crate::finding;
 use crate::ids;
 use crate::time;
@@ -35,6 +37,41 @@
     pub written: time::Wall,
 }
 
+/// The object [`REPORTED`]: what the keeper hears of the VMs in its view.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Reported {
+    /// The VM that wrote this.
+    pub keeper: ids::Vm,
+    /// When it was written, by that VM's clock.
+    pub written: time::Wall,
+    /// Every VM in the keeper's view.
+    pub vms: collections::BTreeMap<ids::Vm, Report>,
+}
+
+/// Store key of [`Reported`].
+pub const REPORTED: &str = "vms/reported";
+
+/// What the keeper hears of one VM.
+#[derive(
+    Debug,
+    Clone,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
+pub struct Report {
+    /// It has reported of late.
+    pub heard: bool,
+    /// Services of which it applies something older than the keeper does; at
+    /// most [`MAX_BEHIND`].
+    pub behind: Vec<ids::Service>,
+    /// It started while the store was out, and the store hasn't confirmed what
+    /// it applies.
+    pub unconfirmed: bool,
+}
+
 /// Most VMs that a status names as behind.
 pub const MAX_BEHIND: usize = 8;
 
--- a/crates/geraniumgauge/src/document/tally.rs
+++ b/crates/geraniumgauge/src/document/tally.rs
@@ -96,6 +96,38 @@
         count
     }
 
+    /// What each of `vms` reported, beside what this VM applies.
+    pub(super) fn all(
+        &self,
+        vms: &[ids::Vm],
+        applied: &[message::Have],
+        now: clock::Moment,
+    ) -> collections::BTreeMap<ids::Vm, status::Report> {
+        let one = |vm: &ids::Vm| (vm.clone(), self.beside(vm, applied, now));
+        vms.iter().map(one).collect()
+    }
+
+    fn beside(
+        &self,
+        vm: &ids::Vm,
+        applied: &[message::Have],
+        now: clock::Moment,
+    ) -> status::Report {
+        let fresh = |report: &&Report| now.since(report.heard) < STALE;
+        let Some(report) = self.reports.get(vm).filter(fresh) else {
+            return status::Report::default();
+        };
+        let behind = applied
+            .iter()
+            .filter(|wanted| !self.applies(vm, wanted, now));
+        let behind = behind.filter_map(|wanted| wanted.service.parse().ok());
+        status::Report {
+            heard: true,
+            behind: behind.take(status::MAX_BEHIND).collect(),
+            unconfirmed: report.unconfirmed,
+        }
+    }
+
     fn applies(&self, vm: &ids::Vm, wanted: &message::Have, now: clock::Moment) -> bool {
         let Some(report) = self.reports.get(vm) else {
             return false;
--- a/crates/geraniumgauge/src/document/tests/service.rs
+++ b/crates/geraniumgauge/src/document/tests/service.rs
@@ -176,6 +176,15 @@
     assert_eq!(site.generations(), [1; VMS]);
     let status = site.status();
     assert_eq!((status.in_force, status.vms), (8, 8));
+    let object = site.store.objects().get(document::REPORTED).unwrap();
+    let reported: document::Reported = serde_json::from_slice(&object.body).unwrap();
+    assert_eq!(reported.vms.len(), VMS);
+    assert!(
+        reported
+            .vms
+            .values()
+            .all(|vm| vm.heard && vm.behind.is_empty())
+    );
     assert!(matches!(
         status.document,
         document::Verdict::Accepted { .. }
--- a/crates/geraniumgauge/src/document/tests/spread.rs
+++ b/crates/geraniumgauge/src/document/tests/spread.rs
@@ -271,10 +271,10 @@
     world.event(late, Event::StoreFailed);
     world.heal();
     assert!(world.vms[late].settled());
-    assert_eq!(world.vms[keeper].unconfirmed(), [name(late)]);
+    assert_eq!(world.vms[keeper].tally().unconfirmed(), [name(late)]);
     world.event(late, Event::Loaded);
     world.heal();
-    assert_eq!(world.vms[keeper].unconfirmed(), []);
+    assert_eq!(world.vms[keeper].tally().unconfirmed(), []);
 }
 
 /// Story: a VM starts while the store is out, next to others that have just
