--- a/crates/geraniumgauge/src/document/spread.rs
+++ b/crates/geraniumgauge/src/document/spread.rs
@@ -395,7 +395,3 @@
 #[cfg(test)]
 #[path = "tests/spread.rs"]
 mod tests;
-
-#[cfg(test)]
-#[path = "tests/scale.rs"]
-mod scale;
--- a/crates/geraniumgauge/src/document/tests/spread.rs
+++ b/crates/geraniumgauge/src/document/tests/spread.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+#[path = "scale.rs"]
+mod scale;
+
 const VMS: usize = 7;
 
 /// Machines joined by a network that loses, delays, doubles and replays.
