Membership: only sayings count as told when heard again

Change: sayings of VMs only. The fleet test was seen to fail without it (34,321 bytes a member against 30,000).

--- a/crates/geraniumgauge/src/member/state/gossip.rs
+++ b/crates/geraniumgauge/src/member/state/gossip.rs
@@ -34,7 +34,7 @@
         let key: sync::Arc<str> = rumour.key.as_str().into();
         let held = self.rumours.get(&(rumour.topic, sync::Arc::clone(&key)));
         if held.is_some_and(|held| held.version >= rumour.version) {
-            return self.heard_again(&queue::Subject::Rumour(rumour.topic, key));
+            return;
         }
         let (name, new) = (subject(&rumour), fingerprint(&rumour));
         if let Some(held) = held {
@@ -174,8 +174,9 @@
         }
     }
 
-    /// News that others tell this VM is known to them: one telling less. When
-    /// many VMs start at once, this ends the retelling early.
+    /// A saying that others tell this VM is known to them: one telling less.
+    /// When many VMs start at once, this ends the retelling early. Rumours are
+    /// few and have to reach all at once, so they are told in full.
     pub(super) fn heard_again(&mut self, subject: &queue::Subject) {
         let limit = self.retransmissions();
         self.queue.told(subject, limit);
--- a/crates/geraniumgauge/src/member/tests/spread.rs
+++ b/crates/geraniumgauge/src/member/tests/spread.rs
@@ -131,6 +131,6 @@
     let mut net = Net::new(100, 7);
     assert!(net.converges(20));
     let spent = net.nodes.iter().map(|node| node.state.figures.bytes);
-    // 100 records of some 60 bytes each: a dozen tellings of each would be 72 KB.
-    assert!(spent.sum::<u64>() / 100 < 40_000);
+    let each = spent.sum::<u64>() / 100;
+    assert!(each < 30_000, "{each} bytes a member");
 }
