--- a/crates/geraniumgauge/src/member/tests/spread.rs
+++ b/crates/geraniumgauge/src/member/tests/spread.rs
@@ -124,3 +124,15 @@
     };
     net.nodes.iter().all(held)
 }
+
+/// Story: the platform starts the whole fleet at once after an outage. Each VM
+/// has news of all others to tell; the retelling must not use up what gossip
+/// may spend for minutes, and nobody may be missed for long.
+#[test]
+fn a_fleet_that_starts_at_once_finds_itself_for_few_bytes() {
+    let mut net = Net::new(100, 7);
+    assert!(net.converges(20));
+    let spent = net.nodes.iter().map(|node| node.state.figures.bytes);
+    let each = spent.sum::<u64>() / 100;
+    assert!(each < 30_000, "{each} bytes a member");
+}
