--- a/crates/geraniumgauge/src/member/state/gossip.rs
+++ b/crates/geraniumgauge/src/member/state/gossip.rs
@@ -174,6 +174,14 @@
         }
     }
 
+    /// A saying that others tell this VM is known to them: one telling less.
+    /// When many VMs start at once, this ends the retelling early. Rumours are
+    /// few and have to reach all at once, so they are told in full.
+    pub(super) fn heard_again(&mut self, subject: &queue::Subject) {
+        let limit = self.retransmissions();
+        self.queue.told(subject, limit);
+    }
+
     fn retransmissions(&self) -> u32 {
         let rounds = ((self.live + 2) as f64).log2().ceil() as u32;
         self.settings.retransmit + rounds.max(1)
