--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -10,6 +10,8 @@
 mod calls;
 mod cold_start;
 mod control;
+mod crash_query;
+mod crossed;
 mod documents;
 mod drain;
 mod fanout;
@@ -24,7 +26,9 @@
 mod silent;
 mod stop;
 mod straggler;
+mod together;
 mod usage;
+mod versions;
 mod vm_loss;
 
 pub use report::Report;
@@ -95,6 +99,10 @@
     control::SCENARIO,
     calls::SCENARIO,
     documents::SCENARIO,
+    together::SCENARIO,
+    crossed::SCENARIO,
+    versions::SCENARIO,
+    crash_query::SCENARIO,
 ];
 
 /// The scenario of that name.
