Urgent rumours reach every member of a small fleet

Cause: the property over seeds failed in about one run of four: each of a dozen members told a rumour to six others picked by chance, so one in 120 seeds left a member out until it compared with another, up to ten seconds later. Ruled out: the reserve, which paid for every telling at the seeds looked at. Change: members are told in a random order without repeats; in fleets of up to 16 an urgent rumour is told to all. Six seeds that failed stay in the test.

--- a/crates/geraniumgauge/src/member/state/gossip.rs
+++ b/crates/geraniumgauge/src/member/state/gossip.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use prost::Message as _;
+use rand::seq::SliceRandom as _;
 
 use crate::ids;
 use crate::member;
@@ -17,6 +18,9 @@
 /// Bytes that one embedded message takes besides its own: tag and length.
 const EMBEDDED: usize = 3;
 
+/// In fleets of up to this many members, each tells urgent rumours to all.
+const TOLD_TO_ALL: usize = 16;
+
 /// Largest rumour, in bytes; a larger one would crowd out all others.
 const RUMOUR: usize = 1024;
 
@@ -75,16 +79,37 @@
         }
     }
 
-    /// Tells news to a few random members, where there is news.
+    /// Tells news to a few members, where there is news.
     pub(super) fn gossip(&mut self, now: time::Moment) {
-        if self.queue.len() == 0 {
-            return;
+        for _ in 0..self.settings.fanout {
+            if self.queue.len() == 0 {
+                return;
+            }
+            let Some((vm, address)) = self.next_told() else {
+                return;
+            };
+            self.send(address, Some(&vm), None, now);
+        }
+    }
+
+    /// The next member to tell news to: all in a random order, then all in
+    /// another one. Failure: picked by chance each time, the six tellings of
+    /// each of a dozen members left one member out at 1 in 120 seeds, and it
+    /// found an urgent rumour only by comparing, up to ten seconds later.
+    fn next_told(&mut self) -> Option<(ids::Vm, net::SocketAddr)> {
+        if self.order.is_empty() {
+            let live = self.members.values().map(|entry| &entry.record);
+            let live = live.filter(|record| record.is_live());
+            self.order = live.map(|record| record.vm.clone()).collect();
+            self.order.shuffle(&mut self.rng);
         }
-        for (vm, address) in self.pick(self.settings.fanout, |_| true) {
-            if self.queue.len() > 0 {
-                self.send(address, Some(&vm), None, now);
+        while let Some(vm) = self.order.pop() {
+            let record = self.record(&vm).filter(|record| record.is_live());
+            if let Some(address) = record.map(|record| record.address) {
+                return Some((vm, address));
             }
         }
+        None
     }
 
     /// Sends a datagram with as much news as fits it and the budget. Probes and
@@ -112,7 +137,9 @@
 
     fn tell(&mut self, to: net::SocketAddr, (parcel, told): (Parcel, Vec<queue::Subject>)) {
         let limit = self.retransmissions();
+        let urgent = limit.max(self.live.min(TOLD_TO_ALL) as u32);
         for subject in told {
+            let limit = if subject.is_urgent() { urgent } else { limit };
             self.queue.told(&subject, limit);
         }
         self.post(to, parcel);
--- a/crates/geraniumgauge/src/member/state/mod.rs
+++ b/crates/geraniumgauge/src/member/state/mod.rs
@@ -143,6 +143,8 @@
     next_sync: time::Moment,
     /// News that must not wait for the next round.
     urgent: bool,
+    /// Members that news is still to be told to, before all are gone through again.
+    order: Vec<ids::Vm>,
     /// Members that came back from the dead, to be compared with at once.
     returned: Vec<net::SocketAddr>,
     dirty: bool,
@@ -184,6 +186,7 @@
             next_gossip: now,
             next_sync: now,
             urgent: false,
+            order: Vec::new(),
             returned: Vec::new(),
             dirty: true,
             twin: false,
--- a/crates/geraniumgauge/src/member/tests/spread.rs
+++ b/crates/geraniumgauge/src/member/tests/spread.rs
@@ -100,10 +100,22 @@
 /// within seconds, and a mark must still outrun a caller who sends again.
 #[test]
 fn urgent_rumours_do_not_wait_behind_the_news_of_many_deaths() {
-    assert!(reaches_all_behind_news(15_115_779_471_232_729_297));
+    for seed in SEEDS_THAT_FAILED {
+        assert!(reaches_all_behind_news(seed), "seed {seed}");
+    }
     check(reaches_all_behind_news);
 }
 
+/// Each left one member without the rumour when targets were picked by chance.
+const SEEDS_THAT_FAILED: [u64; 6] = [
+    15_115_779_471_232_729_297,
+    7_000_993_976_075_006_124,
+    7_174_707_689_700_144_607,
+    13_366_687_179_081_999_452,
+    87_511_127_938_165_776,
+    4_187_317_767_588_296_538,
+];
+
 fn reaches_all_behind_news(seed: u64) -> bool {
     let mut net = Net::settled(12, seed);
     net.run(20);
