--- a/crates/geraniumgauge/src/member/state/gossip.rs
+++ b/crates/geraniumgauge/src/member/state/gossip.rs
@@ -111,9 +111,8 @@
     }
 
     fn tell(&mut self, to: net::SocketAddr, (parcel, told): (Parcel, Vec<queue::Subject>)) {
-        let limit = self.retransmissions();
         for subject in told {
-            self.queue.told(&subject, limit);
+            self.queue.told(&subject, self.retransmissions(&subject));
         }
         self.post(to, parcel);
     }
@@ -178,13 +177,20 @@
     /// When many VMs start at once, this ends the retelling early. Rumours are
     /// few and have to reach all at once, so they are told in full.
     pub(super) fn heard_again(&mut self, subject: &queue::Subject) {
-        let limit = self.retransmissions();
-        self.queue.told(subject, limit);
+        self.queue.told(subject, self.retransmissions(subject));
     }
 
-    fn retransmissions(&self) -> u32 {
+    /// How often `subject` is told. With m tellings by each of n members, one in
+    /// e to the m misses it: urgent rumours are told twice as often, since who
+    /// misses one must wait for a comparison.
+    fn retransmissions(&self, subject: &queue::Subject) -> u32 {
         let rounds = ((self.live + 2) as f64).log2().ceil() as u32;
-        self.settings.retransmit + rounds.max(1)
+        let tellings = self.settings.retransmit + rounds.max(1);
+        if subject.is_urgent() {
+            2 * tellings
+        } else {
+            tellings
+        }
     }
 }
 
--- a/crates/geraniumgauge/src/member/tests/spread.rs
+++ b/crates/geraniumgauge/src/member/tests/spread.rs
@@ -101,6 +101,7 @@
 #[test]
 fn urgent_rumours_do_not_wait_behind_the_news_of_many_deaths() {
     assert!(reaches_all_behind_news(15_115_779_471_232_729_297));
+    assert!(reaches_all_behind_news(6_271_777_788_125_690_871));
     check(reaches_all_behind_news);
 }
 
