--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -4,7 +4,8 @@
 use geraniumgauge::store;
 
 /// Why a command ends without success; its text says what to do next.
-#[derive(Debug, derive_more::Display)]
+#[derive(Debug)]
+#[derive(derive_more::Display)]
 pub(crate) enum Failure {
     /// The command line can't be understood.
     #[display("geraniumgauge: {message}\n\n{usage}")]
--- a/crates/cli/src/vms.rs
+++ b/crates/cli/src/vms.rs
@@ -14,7 +14,8 @@
 use crate::verbs;
 
 /// One VM as the platform lists it and as the keeper hears from it.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct Line {
     vm: ids::Vm,
     data_centre: Option<ids::DataCentre>,
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -17,7 +17,8 @@
 }
 
 /// What is wrong with a command line.
-#[derive(Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub(crate) enum Error {
     /// No settings file is named.
     #[display("--settings FILE is missing; name the settings file")]
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -15,7 +15,8 @@
 use crate::settings;
 
 /// Why logging can't start.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub(crate) enum Error {
     /// The file can't be opened.
     #[display("log.file {file} can't be opened: {reason}; give a path that this user may write")]
--- a/crates/geraniumgauge/src/document/fields.rs
+++ b/crates/geraniumgauge/src/document/fields.rs
@@ -30,7 +30,8 @@
 }
 
 /// A field whose value differs between two documents.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 #[display("{path}: {was} -> {now}")]
 pub struct Difference {
     /// The field.
--- a/crates/geraniumgauge/src/document/held.rs
+++ b/crates/geraniumgauge/src/document/held.rs
@@ -19,17 +19,8 @@
 }
 
 /// Which part of a service.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Display)]
 pub(super) enum Kind {
     /// The accepted document.
     #[display("document")]
--- a/crates/geraniumgauge/src/document/join.rs
+++ b/crates/geraniumgauge/src/document/join.rs
@@ -26,7 +26,8 @@
 const AGAIN: time::Duration = time::Duration::from_millis(500);
 
 /// Where the accepted set was had from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 pub(super) enum Source {
     /// The store.
     #[display("the store")]
--- a/crates/geraniumgauge/src/document/keeper.rs
+++ b/crates/geraniumgauge/src/document/keeper.rs
@@ -14,7 +14,8 @@
 use crate::store;
 
 /// The object `accepted/{service}`.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Accepted {
     /// Counts the accepted documents of the service.
     pub generation: ids::Generation,
--- a/crates/geraniumgauge/src/document/schema.rs
+++ b/crates/geraniumgauge/src/document/schema.rs
@@ -7,7 +7,8 @@
 
 /// What the team asks of its service. Values are within their ranges once a
 /// document is accepted.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct Document {
     /// The team that owns the service.
@@ -39,13 +40,8 @@
 }
 
 /// What an answer gives up last.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
     serde::Serialize,
     serde::Deserialize,
     derive_more::Display,
@@ -63,7 +59,8 @@
 }
 
 /// Shares of first attempts that may be spent on extra ones.
-#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct Budgets {
     /// Hedges a first attempt.
@@ -75,7 +72,8 @@
 }
 
 /// Limits on one VM.
-#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct Limits {
     /// Searches of the service that run at once at one entry.
@@ -87,7 +85,8 @@
 }
 
 /// Objectives of the burn report, as shares of requests.
-#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct Slo {
     /// Answered within the deadline.
--- a/crates/geraniumgauge/src/document/status.rs
+++ b/crates/geraniumgauge/src/document/status.rs
@@ -7,7 +7,8 @@
 use crate::time;
 
 /// The object `status/{service}`.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Status {
     /// The service.
     pub service: ids::Service,
@@ -38,7 +39,8 @@
 }
 
 /// The object [`REPORTED`]: what the keeper hears of the VMs in its view.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Reported {
     /// The VM that wrote this.
     pub keeper: ids::Vm,
@@ -52,15 +54,8 @@
 pub const REPORTED: &str = "vms/reported";
 
 /// What the keeper hears of one VM.
-#[derive(
-    Debug,
-    Clone,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// It has reported of late.
     pub heard: bool,
@@ -76,7 +71,8 @@
 pub const MAX_BEHIND: usize = 8;
 
 /// What became of the team's text.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
 pub enum Verdict {
     /// It is the accepted document.
--- a/crates/geraniumgauge/src/finding.rs
+++ b/crates/geraniumgauge/src/finding.rs
@@ -6,17 +6,8 @@
 use std::fmt;
 
 /// Where in a text something stands; line and column count from 1.
-#[derive(
-    Debug,
-    Clone,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 #[display("{file}:{line}:{column}")]
 pub struct Place {
     /// The file's name as it was given, or the store key.
@@ -45,7 +36,8 @@
 }
 
 /// One thing wrong, and what to do.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Finding {
     /// Where it stands.
     pub place: Place,
--- a/crates/geraniumgauge/src/home/state/lines.rs
+++ b/crates/geraniumgauge/src/home/state/lines.rs
@@ -7,18 +7,8 @@
 use crate::time::Moment;
 
 /// Names a connection of this home; never used again.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Display)]
 pub struct Link(pub u64);
 
 /// What a connection is doing.
--- a/crates/geraniumgauge/src/home/state/mod.rs
+++ b/crates/geraniumgauge/src/home/state/mod.rs
@@ -134,7 +134,8 @@
 }
 
 /// Why a connection is closed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(derive_more::Display)]
 pub enum Why {
     /// It isn't needed.
     #[display("idle")]
--- a/crates/geraniumgauge/src/home/state/running.rs
+++ b/crates/geraniumgauge/src/home/state/running.rs
@@ -7,6 +7,7 @@
 use super::Why;
 use super::job;
 use super::lines;
+use crate::home::placement;
 use crate::mesh::message;
 use crate::time::Moment;
 use crate::upstream;
@@ -34,9 +35,13 @@
         slow.unwrap_or(SUSPECT_UNKNOWN).max(SUSPECT_LEAST)
     }
 
-    /// When a suspect may be cut.
+    /// When a suspect may be cut. The baseline that calls upstreams directly
+    /// waits for the deadline, as a plain client does.
     pub(super) fn cut_after(&self) -> time::Duration {
-        self.suspect_after() * CUT_FACTOR
+        match self.role() {
+            Some(placement::Role::Direct) => time::Duration::MAX,
+            _ => self.suspect_after() * CUT_FACTOR,
+        }
     }
 
     pub(super) fn heard(&mut self, link: lines::Link) {
--- a/crates/geraniumgauge/src/http/callers.rs
+++ b/crates/geraniumgauge/src/http/callers.rs
@@ -13,7 +13,8 @@
 const DEFAULT_HITS: u32 = 10;
 
 /// The body of a search.
-#[derive(Debug, serde::Deserialize)]
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Body {
     query: Box<serde_json::value::RawValue>,
--- a/crates/geraniumgauge/src/http/server.rs
+++ b/crates/geraniumgauge/src/http/server.rs
@@ -17,7 +17,8 @@
 const MERCY_S: u32 = 1;
 
 /// Why a server can't run.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("can't serve on {address}: {reason}; is another process using it?")]
 pub struct Error {
     /// Where it was to listen.
--- a/crates/geraniumgauge/src/ids.rs
+++ b/crates/geraniumgauge/src/ids.rs
@@ -11,7 +11,8 @@
 pub const MAX_LEN: usize = 128;
 
 /// Why a text is no identifier.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum Error {
     /// The text is empty.
     #[display("{kind} is empty; give 1 to {MAX_LEN} characters")]
--- a/crates/geraniumgauge/src/jsonc/tests.rs
+++ b/crates/geraniumgauge/src/jsonc/tests.rs
@@ -136,5 +136,5 @@
         findings(&text);
         true
     }
-    quickcheck::quickcheck(property as fn(String, usize) -> bool);
+    crate::seeds::checker().quickcheck(property as fn(String, usize) -> bool);
 }
--- a/crates/geraniumgauge/src/layout.rs
+++ b/crates/geraniumgauge/src/layout.rs
@@ -15,7 +15,8 @@
 }
 
 /// One version of a service's layout.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Layout {
     /// Grows with each repartition or move of a replica.
     pub version: ids::LayoutVersion,
@@ -26,7 +27,8 @@
 }
 
 /// An upstream server and its means.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Upstream {
     /// Its name, unique over all services.
     pub id: ids::Upstream,
@@ -43,7 +45,8 @@
 }
 
 /// One shard and where its replicas are.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Shard {
     /// Its name, unique within the layout.
     pub id: ids::Shard,
@@ -52,7 +55,8 @@
 }
 
 /// Why a layout can't be used.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum Error {
     /// A shard names an upstream that the layout doesn't list.
     #[display("shard {shard} names upstream {upstream}, which \"upstreams\" doesn't list")]
--- a/crates/geraniumgauge/src/ledger/head.rs
+++ b/crates/geraniumgauge/src/ledger/head.rs
@@ -13,18 +13,8 @@
 pub const MAX_RESULT: usize = 16 * 1024;
 
 /// Names one attempt at one claim; no other attempt ever has the same.
-#[derive(
-    Debug,
-    Clone,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Display, serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub(super) struct Token(String);
 
@@ -36,16 +26,8 @@
 }
 
 /// Where a claim stands.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    derive_more::Display,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub(super) enum State {
@@ -59,7 +41,8 @@
 }
 
 /// One claim.
-#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Entry {
     /// Who may send it.
     pub(super) token: Token,
@@ -79,7 +62,8 @@
 }
 
 /// An object with older entries of a bucket. Pages are never changed.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Page {
     /// Its store key.
     pub(super) id: String,
@@ -105,7 +89,8 @@
 }
 
 /// The object of one bucket that changes.
-#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Head {
     /// Timed keys up to this time are refused: their claims may be forgotten.
     /// Raised in the same update that forgets them, so a VM whose clock is
--- a/crates/geraniumgauge/src/ledger/mod.rs
+++ b/crates/geraniumgauge/src/ledger/mod.rs
@@ -60,7 +60,8 @@
 }
 
 /// A registration that is done.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize)]
 pub struct Done {
     /// The caller's request.
     pub request_id: ids::Request,
--- a/crates/geraniumgauge/src/ledger/unsettled.rs
+++ b/crates/geraniumgauge/src/ledger/unsettled.rs
@@ -7,7 +7,8 @@
 use crate::time;
 
 /// A claim without an outcome: it may have run or be running.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Unsettled {
     /// The caller's idempotency key.
     pub key: ids::Key,
--- a/crates/geraniumgauge/src/lib.rs
+++ b/crates/geraniumgauge/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod query;
 pub mod rate;
 pub mod rendezvous;
+#[cfg(test)]
+mod seeds;
 pub mod slo;
 pub mod store;
 pub mod time;
--- a/crates/geraniumgauge/src/member/view.rs
+++ b/crates/geraniumgauge/src/member/view.rs
@@ -6,17 +6,8 @@
 use crate::ids;
 
 /// What this VM holds of another.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Display)]
 pub enum State {
     /// It answers, and takes duties.
     #[display("alive")]
--- a/crates/geraniumgauge/src/member/wire.rs
+++ b/crates/geraniumgauge/src/member/wire.rs
@@ -20,7 +20,8 @@
 pub const HEADERS: usize = 28;
 
 /// Why a datagram couldn't be read or written.
-#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// The socket failed.
     #[display("{_0}")]
@@ -31,7 +32,8 @@
 }
 
 /// One datagram.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Datagram {
     /// The sender.
     #[prost(message, optional, tag = "1")]
@@ -48,7 +50,8 @@
 }
 
 /// The kinds of datagram.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
 pub enum Kind {
     /// Asks a VM for an [`Kind::Ack`].
     #[prost(message, tag = "2")]
@@ -65,7 +68,8 @@
 }
 
 /// One probe.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Probe {
     /// Chosen by who asks.
     #[prost(uint64, tag = "1")]
@@ -76,7 +80,8 @@
 }
 
 /// A probe through another member.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Relay {
     /// The probe.
     #[prost(message, optional, tag = "1")]
@@ -87,7 +92,8 @@
 }
 
 /// Hashes of what a VM holds, by bucket.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Digest {
     /// Four bytes each, big-endian.
     #[prost(bytes = "bytes", tag = "1")]
@@ -98,7 +104,8 @@
 }
 
 /// [`record::Record`] on the wire.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Saying {
     /// The VM.
     #[prost(string, tag = "1")]
@@ -124,7 +131,8 @@
 }
 
 /// [`member::Rumour`] on the wire.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Rumour {
     /// 1 catalog, 2 applied, 3 mark.
     #[prost(uint32, tag = "1")]
--- a/crates/geraniumgauge/src/mesh/codec.rs
+++ b/crates/geraniumgauge/src/mesh/codec.rs
@@ -12,7 +12,8 @@
 pub(super) const HEAD: usize = 4;
 
 /// Why bytes are no frame. The link they came over can't be read any further.
-#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// The stream failed, or a frame exceeds the size limit.
     #[display("{_0}")]
--- a/crates/geraniumgauge/src/mesh/link.rs
+++ b/crates/geraniumgauge/src/mesh/link.rs
@@ -21,7 +21,8 @@
 use crate::mesh::pulse;
 
 /// How a link ended.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 pub(super) enum End {
     /// Everything queued was written and the peer told.
     #[display("closed in order")]
--- a/crates/geraniumgauge/src/mesh/message.rs
+++ b/crates/geraniumgauge/src/mesh/message.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 
 /// One frame on a link.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Frame {
     /// What it carries; a frame of a newer kind decodes as none and is skipped.
     #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
@@ -13,7 +14,8 @@
 }
 
 /// The kinds of frame.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
 pub enum Body {
     /// First frame on a link, in each direction.
     #[prost(message, tag = "1")]
@@ -61,7 +63,8 @@
 }
 
 /// Who opens a link.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Hello {
     /// The sender's name.
     #[prost(string, tag = "1")]
@@ -79,11 +82,13 @@
 }
 
 /// Ends a link in order: every frame before it has been sent.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Bye {}
 
 /// Shard calls of one query to upstreams of one home.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Batch {
     /// The caller's request.
     #[prost(string, tag = "1")]
@@ -112,7 +117,8 @@
 }
 
 /// One shard call.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Call {
     /// The entry's [`crate::ids::Attempt`].
     #[prost(uint64, tag = "1")]
@@ -129,17 +135,8 @@
 }
 
 /// Why a call is made.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    prost::Enumeration
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(prost::Enumeration)]
 pub enum Kind {
     /// The first for its shard and pin.
     First = 0,
@@ -154,7 +151,8 @@
 }
 
 /// What became of shard calls.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Replies {
     /// One for each call; calls of a batch may be answered in several frames.
     #[prost(message, repeated, tag = "1")]
@@ -162,7 +160,8 @@
 }
 
 /// What became of one shard call.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Reply {
     /// The attempt that this answers.
     #[prost(uint64, tag = "1")]
@@ -203,17 +202,8 @@
 }
 
 /// What became of a call at an upstream.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    prost::Enumeration
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(prost::Enumeration)]
 pub enum Outcome {
     /// Unset or of a newer kind: treated as [`Outcome::Lost`].
     Unknown = 0,
@@ -259,7 +249,8 @@
 }
 
 /// Attempts that are no longer wanted.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Cancel {
     /// The attempts, as their entry numbered them.
     #[prost(uint64, repeated, tag = "1")]
@@ -267,7 +258,8 @@
 }
 
 /// A record to be sent to an upstream once, by the VM that created its claim.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Record {
     /// The claimant's [`crate::ids::Attempt`].
     #[prost(uint64, tag = "1")]
@@ -305,7 +297,8 @@
 }
 
 /// What became of a record.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct RecordReply {
     /// The attempt that this answers.
     #[prost(uint64, tag = "1")]
@@ -319,7 +312,8 @@
 }
 
 /// A registration, handed to the VM that claims for its key.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Register {
     /// The entry's number for this registration.
     #[prost(uint64, tag = "1")]
@@ -342,7 +336,8 @@
 }
 
 /// What to tell the caller of a registration.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Registered {
     /// The attempt that this answers.
     #[prost(uint64, tag = "1")]
@@ -368,7 +363,8 @@
 }
 
 /// Asks a peer for what it holds of some services, or compares what both hold.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Pull {
     /// The services wanted; where empty, `digest` is compared.
     #[prost(string, repeated, tag = "1")]
@@ -387,7 +383,8 @@
 }
 
 /// Which generation and layout of a service a VM applies.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
 pub struct Have {
     /// The service.
     #[prost(string, tag = "1")]
@@ -401,7 +398,8 @@
 }
 
 /// What a peer holds of some services.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Pulled {
     /// One for each service that was wanted.
     #[prost(message, repeated, tag = "1")]
@@ -421,7 +419,8 @@
 }
 
 /// An accepted document and a layout.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Entry {
     /// The service.
     #[prost(string, tag = "1")]
@@ -447,7 +446,8 @@
 }
 
 /// A request that may crash upstreams, told directly; the same as its rumour.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Mark {
     /// As [`crate::member::Rumour::key`].
     #[prost(string, tag = "1")]
--- a/crates/geraniumgauge/src/mesh/mod.rs
+++ b/crates/geraniumgauge/src/mesh/mod.rs
@@ -24,7 +24,8 @@
 pub const PROTOCOL: u32 = 1;
 
 /// Why a frame was not taken for sending. Nothing of it has left this VM.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum Error {
     /// No live member has this name.
     #[display("{vm} is no live member")]
--- a/crates/geraniumgauge/src/metrics.rs
+++ b/crates/geraniumgauge/src/metrics.rs
@@ -9,7 +9,8 @@
 use prometheus::Encoder as _;
 
 /// Why metrics can't be set up or shown.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("metrics: {reason}")]
 pub struct Error {
     reason: String,
--- a/crates/geraniumgauge/src/quarantine/claim.rs
+++ b/crates/geraniumgauge/src/quarantine/claim.rs
@@ -19,7 +19,8 @@
 const ASK_AGAIN: time::Duration = time::Duration::from_millis(200);
 
 /// Why no trial may start now.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum Denied {
     /// Another try may succeed after this time.
     #[display("no trial may start for {} ms", after.as_millis())]
--- a/crates/geraniumgauge/src/quarantine/mark.rs
+++ b/crates/geraniumgauge/src/quarantine/mark.rs
@@ -9,7 +9,8 @@
 
 /// What is held against one request, as VMs tell each other and keep it in the
 /// store.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Mark {
     /// The service.
     pub service: ids::Service,
@@ -30,19 +31,8 @@
 }
 
 /// What a mark says.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 #[serde(rename_all = "lowercase")]
 #[display(rename_all = "lowercase")]
 pub enum State {
--- a/crates/geraniumgauge/src/quarantine/mod.rs
+++ b/crates/geraniumgauge/src/quarantine/mod.rs
@@ -27,18 +27,8 @@
 pub use service::Spread;
 
 /// What holds for a request before it runs.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Display)]
 #[display(rename_all = "lowercase")]
 pub enum Verdict {
     /// It may run freely.
--- a/crates/geraniumgauge/src/query/answer.rs
+++ b/crates/geraniumgauge/src/query/answer.rs
@@ -23,7 +23,8 @@
 }
 
 /// A whole answer.
-#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// The caller's request.
     pub request_id: ids::Request,
@@ -36,18 +37,8 @@
 }
 
 /// A version of a service's indexes.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Snapshot {
     /// The index version.
     pub version: ids::IndexVersion,
@@ -56,7 +47,8 @@
 }
 
 /// Which shards an answer covers.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Coverage {
     /// Shards of the pinned layout that were asked for.
     pub shards: usize,
@@ -69,7 +61,8 @@
 }
 
 /// A shard that the answer doesn't cover.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Missing {
     /// The shard.
     pub shard: ids::Shard,
@@ -78,19 +71,8 @@
 }
 
 /// Why a shard is missing.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Reason {
@@ -111,7 +93,8 @@
 }
 
 /// One hit. Fields beyond these three pass through as the upstream gave them.
-#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Hit {
     /// The record's id.
     pub id: String,
@@ -125,7 +108,8 @@
 }
 
 /// A request that is not answered.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("{code}: {message}")]
 pub struct Refusal {
     /// What kind of refusal.
@@ -139,13 +123,8 @@
 }
 
 /// Whether a refused request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
     serde::Serialize,
     serde::Deserialize,
     derive_more::Display,
@@ -162,15 +141,8 @@
 }
 
 /// Kinds of refusal; each has its HTTP status.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
     serde::Serialize,
     serde::Deserialize,
     derive_more::Display,
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -27,16 +27,8 @@
 
 /// How calls are placed and repeated. All but [`Policy::Full`] are baselines
 /// for measurements.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    derive_more::Display,
-    derive_more::FromStr
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::FromStr)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 pub enum Policy {
--- a/crates/geraniumgauge/src/rate.rs
+++ b/crates/geraniumgauge/src/rate.rs
@@ -5,7 +5,8 @@
 use crate::time;
 
 /// Why a text is no rate, share or size.
-#[derive(Debug, Clone, PartialEq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("{text:?} is no {kind}; {remedy}")]
 pub struct Error {
     kind: &'static str,
@@ -14,17 +15,8 @@
 }
 
 /// A share from 0 to 1.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    PartialOrd,
-    serde::Serialize,
-    serde::Deserialize,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 #[display("{_0}")]
 #[serde(try_from = "f64", into = "f64")]
 pub struct Share(f64);
@@ -79,20 +71,8 @@
 }
 
 /// A number of bytes.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 #[display("{_0} B")]
 #[serde(transparent)]
 pub struct Bytes(pub u64);
@@ -112,17 +92,8 @@
 }
 
 /// Events a second.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    PartialOrd,
-    serde::Serialize,
-    serde::Deserialize,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 #[display("{_0}/s")]
 #[serde(transparent)]
 pub struct PerSecond(pub f64);
--- a/crates/geraniumgauge/src/slo/counts.rs
+++ b/crates/geraniumgauge/src/slo/counts.rs
@@ -6,15 +6,8 @@
 use crate::slo;
 
 /// Counts of one service over some time.
-#[derive(
-    Debug,
-    Clone,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct Counts {
     /// Requests of callers.
--- a/crates/geraniumgauge/src/slo/object.rs
+++ b/crates/geraniumgauge/src/slo/object.rs
@@ -40,7 +40,8 @@
 pub(super) type Services = collections::BTreeMap<ids::Service, slo::Series>;
 
 /// The object `burn-inbox/{group}`.
-#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Inbox {
     /// The newest delivery of each VM.
     vms: collections::BTreeMap<ids::Vm, Delivery>,
@@ -55,7 +56,8 @@
 }
 
 /// The newest delivery of one VM.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Delivery {
     incarnation: ids::Incarnation,
     sequence: u64,
@@ -63,7 +65,8 @@
 }
 
 /// Counts that are to be folded into the services' objects.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Batch {
     /// Its number.
     pub(super) number: u64,
@@ -168,7 +171,8 @@
 }
 
 /// The object `burn/{service}`.
-#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Burn {
     /// The newest batch of each inbox that is counted here.
     folded: collections::BTreeMap<u64, u64>,
--- a/crates/geraniumgauge/src/slo/page.rs
+++ b/crates/geraniumgauge/src/slo/page.rs
@@ -9,7 +9,8 @@
 use crate::slo;
 
 /// Why a report can't be drawn.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("the report can't be drawn: {reason}")]
 pub struct Error {
     reason: String,
--- a/crates/geraniumgauge/src/slo/report.rs
+++ b/crates/geraniumgauge/src/slo/report.rs
@@ -25,7 +25,8 @@
 pub const FAST: f64 = 14.4;
 
 /// What a service's objectives have cost.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize)]
 pub struct Report {
     /// The service.
     pub service: ids::Service,
@@ -43,7 +44,8 @@
 }
 
 /// One objective and how far it is kept.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize)]
 pub struct Indicator {
     /// Its name in the document.
     pub name: &'static str,
@@ -73,7 +75,8 @@
 type Count = fn(&slo::Counts) -> (u64, u64);
 
 /// One objective over one window.
-#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Window {
     /// Its name.
     pub window: &'static str,
@@ -87,7 +90,8 @@
 }
 
 /// Missing shards of one reason.
-#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Missing {
     /// The reason.
     pub reason: query::Reason,
--- a/crates/geraniumgauge/src/slo/series.rs
+++ b/crates/geraniumgauge/src/slo/series.rs
@@ -17,22 +17,16 @@
 ];
 
 /// Counts of one service by time. At most about 160 slices.
-#[derive(
-    Debug,
-    Clone,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Series {
     slices: Vec<Slice>,
 }
 
 /// Counts from `start` for `width`.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Slice {
     #[serde(rename = "s")]
     start: clock::Wall,
--- a/crates/geraniumgauge/src/store/calls.rs
+++ b/crates/geraniumgauge/src/store/calls.rs
@@ -5,7 +5,8 @@
 use crate::store;
 
 /// The calls of [`store::Api`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 #[display(rename_all = "lowercase")]
 pub(super) enum Kind {
     Get,
--- a/crates/geraniumgauge/src/store/mod.rs
+++ b/crates/geraniumgauge/src/store/mod.rs
@@ -47,7 +47,8 @@
 }
 
 /// One object that changed, as a watch or a list tells it.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Change {
     /// The object's key.
     pub key: String,
@@ -56,7 +57,8 @@
 }
 
 /// Objects below a prefix, or those that changed.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Listing {
     /// The store's revision that this shows.
     pub revision: ids::Revision,
@@ -65,7 +67,8 @@
 }
 
 /// One VM of the platform's list. The list lags.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Vm {
     /// Its name.
     pub vm: ids::Vm,
@@ -79,7 +82,8 @@
 }
 
 /// Why a store call failed.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum Error {
     /// The condition didn't hold; nothing was written.
     #[display("{key} is at version {current}, not at the one expected")]
--- a/crates/geraniumgauge/src/time.rs
+++ b/crates/geraniumgauge/src/time.rs
@@ -8,18 +8,8 @@
 use std::time;
 
 /// A monotonic point in time of this process, in microseconds since it started.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Display)]
 #[display("{_0}us")]
 pub struct Moment(pub u64);
 
@@ -53,20 +43,8 @@
 }
 
 /// The VM's wall clock, in milliseconds since the Unix epoch.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-    derive_more::Display
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
 #[serde(transparent)]
 pub struct Wall(pub u64);
 
--- a/crates/geraniumgauge/src/upstream/connection.rs
+++ b/crates/geraniumgauge/src/upstream/connection.rs
@@ -42,22 +42,16 @@
 }
 
 /// Why a connection can't be prepared.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("no HTTP client: {source}")]
 pub struct Error {
     source: reqwest::Error,
 }
 
 /// An upstream didn't answer a request for a report.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    derive_more::Display,
-    derive_more::Error
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("no answer")]
 pub struct Unanswered {
     /// No connection could be had.
@@ -250,7 +244,8 @@
 }
 
 /// The one connect that a [`Connection`] may make has been made.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("the connection is closed")]
 struct Closed;
 
--- a/crates/geraniumgauge/src/upstream/reply.rs
+++ b/crates/geraniumgauge/src/upstream/reply.rs
@@ -7,7 +7,8 @@
 use crate::ids;
 
 /// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(derive_more::Display)]
 pub enum Outcome {
     /// It ran; the body is its result.
     #[display("done")]
@@ -67,15 +68,8 @@
 }
 
 /// What an upstream says of itself.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Status {
     /// It takes work.
@@ -87,15 +81,8 @@
 }
 
 /// A health report: a hint that may lag or mislead.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Health {
     /// What it says of itself.
     pub status: Status,
@@ -132,7 +119,8 @@
     pub(super) once: bool,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 struct Refusal {
     #[serde(default)]
     error: String,
--- a/crates/geraniumgauge/src/vm/mod.rs
+++ b/crates/geraniumgauge/src/vm/mod.rs
@@ -31,7 +31,8 @@
 const PORT_TRIES: u32 = 20;
 
 /// Why a VM can't start.
-#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// The mesh address can't be had.
     #[from(ignore)]
--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -67,7 +67,8 @@
 }
 
 /// What is wrong with a command line.
-#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
 pub(crate) enum Error {
     /// A flag or its value.
     #[display("{_0}")]
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -12,7 +12,8 @@
 use crate::site;
 
 /// What didn't hold.
-#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// The site can't start.
     #[display("{_0}")]
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -39,7 +39,8 @@
 use crate::site;
 
 /// Why a scenario couldn't be run.
-#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// The site.
     #[display("site: {_0}")]
--- a/crates/standin/src/measure/outage.rs
+++ b/crates/standin/src/measure/outage.rs
@@ -28,7 +28,8 @@
 const REFUSED: &str = "the store's outage refuses registrations as not run";
 
 /// What the store does meanwhile.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 #[display(rename_all = "lowercase")]
 enum Phase {
     Before,
--- a/crates/standin/src/measure/outcome.rs
+++ b/crates/standin/src/measure/outcome.rs
@@ -4,7 +4,8 @@
 use std::fmt;
 
 /// A promise that was broken for one request.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Violation {
     /// Which promise.
     pub promise: &'static str,
--- a/crates/standin/src/measure/report.rs
+++ b/crates/standin/src/measure/report.rs
@@ -12,7 +12,8 @@
 const SHOWN: usize = 10;
 
 /// What one run of a scenario and its baseline brought.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize)]
 pub struct Report {
     /// The scenario.
     pub scenario: String,
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -1,7 +1,8 @@
 //! Faults of the platform, set by `POST /control/faults` or in process.
 
 /// What is wrong with the platform; the default is nothing.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Every call is refused with 503 and has no effect.
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -35,7 +35,8 @@
 const START: time::Duration = time::Duration::from_secs(30);
 
 /// Why a site can't be had.
-#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// A stand-in can't listen.
     #[display("a stand-in can't listen: {_0}")]
--- a/crates/standin/src/site/serve.rs
+++ b/crates/standin/src/site/serve.rs
@@ -10,7 +10,8 @@
 use crate::site;
 
 /// Why a site's upstreams can't be served.
-#[derive(Debug, derive_more::Display, derive_more::From, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From, derive_more::Error)]
 pub enum Error {
     /// An upstream can't listen.
     #[display("an upstream can't listen: {_0}")]
--- a/crates/standin/src/upstream/config.rs
+++ b/crates/standin/src/upstream/config.rs
@@ -28,7 +28,8 @@
 }
 
 /// What is wrong with an upstream; the default is nothing.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Added to each request's running time, in milliseconds.
--- a/crates/standin/src/upstream/corpus.rs
+++ b/crates/standin/src/upstream/corpus.rs
@@ -7,7 +7,8 @@
 pub const HITS: u64 = 5;
 
 /// One record found.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Hit {
     /// The record's id.
     pub id: String,
