Scenarios share their site and their warm-up; documents build without warnings

Cause: duplicates listed the same twenty lines in eight scenarios; cargo doc warned of private links and of the command's pages in the library's place. Change: Context::site and searches::Bench; measure stop now replaces 8 VMs in turn, as the users have, and not 4; three links are plain words. Conclusion: a scenario is its faults and its figures.

--- a/crates/geraniumgauge/src/quarantine/direct.rs
+++ b/crates/geraniumgauge/src/quarantine/direct.rs
@@ -14,7 +14,7 @@
 
 /// Rumours take seconds to reach everyone, and a caller's resend takes
 /// milliseconds: a mark therefore goes straight to each VM as well. Above
-/// [`FANOUT`] members the first receivers pass it on to their share, so that
+/// `FANOUT` members the first receivers pass it on to their share, so that
 /// no VM sends thousands of frames; one that doesn't hear is reached by rumour.
 pub struct Direct {
     /// The members' gossip.
--- a/crates/geraniumgauge/src/query/gather/mod.rs
+++ b/crates/geraniumgauge/src/query/gather/mod.rs
@@ -1,6 +1,6 @@
 //! Gathers the answer to one search. A state machine without I/O.
 //!
-//! One shard is one [`slot::Slot`], one call is one [`attempt::Attempt`]; both
+//! One shard is one `slot::Slot`, one call is one `attempt::Attempt`; both
 //! are numbered, so a reply finds its call without a search. Attempts are never
 //! numbered anew: a reply to a call that ended, of an abandoned pin or not,
 //! finds its attempt ended and is dropped.
--- a/crates/standin/src/measure/calls.rs
+++ b/crates/standin/src/measure/calls.rs
@@ -37,7 +37,6 @@
 const SERVICE: &str = "wide";
 const WIDTHS: [usize; 3] = [20, 80, 240];
 const RATE: f64 = 20.0;
-const VMS: usize = 8;
 const RUNS: usize = 3;
 /// How long tokio keeps idle threads, and a little more.
 const IDLE_THREADS: time::Duration = time::Duration::from_secs(11);
@@ -71,11 +70,7 @@
     context: measure::Context,
     width: usize,
 ) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, width)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = VMS;
-    let site = site::Site::start(config).await?;
+    let site = context.site(site::Spec::small(SERVICE, width)).await?;
     straggler::searches(&site, SERVICE, RATE, SPAN, context.seed, DEADLINE).await?;
     let (mut processor, mut frames, mut bytes) = (Vec::new(), Vec::new(), Vec::new());
     let mut out = outcome::Outcome::default();
--- a/crates/standin/src/measure/cold_start.rs
+++ b/crates/standin/src/measure/cold_start.rs
@@ -29,28 +29,8 @@
         work_ms: WORK_MS,
         ..site::Spec::small(SERVICE, SHARDS)
     };
-    let mut config = site::Config::new(vec![spec]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let site = site::Site::start(config).await?;
-    let service = site.service(SERVICE);
-    let rate = service.capacity() * LOAD;
-    let load = searches::Load {
-        rate,
-        span: searches::WARM_UP,
-        seed: context.seed,
-    };
-    searches::send(&site, SERVICE, load).await?;
-    let (before, sent) = (
-        service.counts().arrived(),
-        searches::Sent::read(&site).await?,
-    );
-    let load = searches::Load {
-        span: SPAN,
-        seed: context.seed + 1,
-        ..load
-    };
+    let bench = searches::Bench::start(context, spec, LOAD, SPAN).await?;
+    let service = bench.service();
     let restart = async {
         tokio::time::sleep(RESTART).await;
         for shard in 0..SHARDS {
@@ -63,10 +43,9 @@
             upstream.crash();
         }
     };
-    let (found, ()) = tokio::join!(searches::send(&site, SERVICE, load), restart);
+    let (found, ()) = tokio::join!(bench.send(), restart);
     let found = found?;
-    let sent = searches::Sent::read(&site).await?.since(sent);
-    let mut out = searches::sum(service, &found, service.counts().arrived() - before, sent);
+    let mut out = bench.sum(&found).await?;
     let after = found.iter().filter(|search| search.at > RESTART);
     out.figure("whole_after_restart_share", searches::whole(after));
     Ok(out)
--- a/crates/standin/src/measure/crash_query.rs
+++ b/crates/standin/src/measure/crash_query.rs
@@ -27,7 +27,6 @@
 const NONE_BARE: &str = "no shard without a replica";
 
 const SERVICE: &str = "port-inspection";
-const VMS: usize = 8;
 /// Searches a second beside the one that crashes.
 const RATE: f64 = 20.0;
 const RATE_WIDE: f64 = 4.0;
@@ -61,11 +60,7 @@
         replicas,
         ..site::Spec::small(SERVICE, shards)
     };
-    let mut config = site::Config::new(vec![spec]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = VMS;
-    let site = site::Site::start(config).await?;
+    let site = context.site(spec).await?;
     let service = site.service(SERVICE);
     service.set_faults(|faults| faults.restart_ms = RESTART_MS);
     let rate = if shards > 100 { RATE_WIDE } else { RATE };
@@ -141,7 +136,7 @@
     let query = serde_json::json!({ "text": "crash-the-upstream" });
     let mut answered = 0;
     for _ in 0..RESENDS {
-        let sends = (0..VMS).map(|_| caller.search(&id, &query, searches::DEADLINE));
+        let sends = (0..site::VMS).map(|_| caller.search(&id, &query, searches::DEADLINE));
         let round = future::join_all(sends);
         let samples = tokio::join!(round, tokio::time::sleep(BETWEEN)).0;
         answered += samples.iter().filter(|sample| sample.answered()).count();
--- a/crates/standin/src/measure/crossed.rs
+++ b/crates/standin/src/measure/crossed.rs
@@ -23,35 +23,14 @@
 const SPAN: time::Duration = time::Duration::from_secs(8);
 
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let site = site::Site::start(config).await?;
-    let service = site.service(SERVICE);
-    let rate = service.capacity() * LOAD;
-    let load = searches::Load {
-        rate,
-        span: searches::WARM_UP,
-        seed: context.seed,
-    };
-    searches::send(&site, SERVICE, load).await?;
+    let bench =
+        searches::Bench::start(context, site::Spec::small(SERVICE, SHARDS), LOAD, SPAN).await?;
+    let service = bench.service();
     service.set_faults(|faults| {
         faults.crossed_share = 0.02;
         faults.wrong_version_share = 0.02;
         faults.straggler_share = 0.01;
     });
-    let (before, sent) = (
-        service.counts().arrived(),
-        searches::Sent::read(&site).await?,
-    );
-    let load = searches::Load {
-        span: SPAN,
-        seed: context.seed + 1,
-        ..load
-    };
-    let found = searches::send(&site, SERVICE, load).await?;
-    let sent = searches::Sent::read(&site).await?.since(sent);
-    let arrived = service.counts().arrived() - before;
-    Ok(searches::sum(service, &found, arrived, sent))
+    let found = bench.send().await?;
+    bench.sum(&found).await
 }
--- a/crates/standin/src/measure/documents.rs
+++ b/crates/standin/src/measure/documents.rs
@@ -26,7 +26,6 @@
 };
 
 const SERVICE: &str = "foreman-search";
-const VMS: usize = 8;
 /// Rounds in which two operators write over the same version.
 const RACES: u64 = 12;
 const BAD_EDITS: u64 = 3;
@@ -41,11 +40,7 @@
 const REFUSED: &str = "a refused edit changes nothing and is reported";
 
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, 4)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = VMS;
-    let site = site::Site::start(config).await?;
+    let site = context.site(site::Spec::small(SERVICE, 4)).await?;
     let mut trial = Trial::new(site, context.seed).await?;
     trial.idle().await;
     trial.races().await?;
@@ -93,7 +88,7 @@
         let span = time::Duration::from_secs(10);
         clock::sleep(span).await;
         let after = self.site.platform.state().counts();
-        let per_vm = |count: u64| count as f64 / span.as_secs_f64() / VMS as f64;
+        let per_vm = |count: u64| count as f64 / span.as_secs_f64() / f64::from(site::VMS);
         let reads =
             |counts: &crate::platform::Counts| counts.get + counts.list + counts.watch + counts.vms;
         let (reads, writes) = (reads(&after) - reads(&before), after.put - before.put);
--- a/crates/standin/src/measure/drain.rs
+++ b/crates/standin/src/measure/drain.rs
@@ -52,41 +52,17 @@
 }
 
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let site = site::Site::start(config).await?;
-    let service = site.service(SERVICE);
-    let rate = service.capacity() * LOAD;
-    let load = searches::Load {
-        rate,
-        span: searches::WARM_UP,
-        seed: context.seed,
-    };
-    searches::send(&site, SERVICE, load).await?;
-    let (before, sent) = (
-        service.counts().arrived(),
-        searches::Sent::read(&site).await?,
-    );
-    let load = searches::Load {
-        span: SPAN,
-        seed: context.seed + 1,
-        ..load
-    };
+    let bench =
+        searches::Bench::start(context, site::Spec::small(SERVICE, SHARDS), LOAD, SPAN).await?;
+    let service = bench.service();
     let (lags, lies) = (service.replica(0, 0), service.replica(1, 1));
-    let (found, lags, lies) = tokio::join!(
-        searches::send(&site, SERVICE, load),
-        drain(lags, false),
-        drain(lies, true),
-    );
+    let (found, lags, lies) = tokio::join!(bench.send(), drain(lags, false), drain(lies, true),);
     let found = found?;
-    let sent = searches::Sent::read(&site).await?.since(sent);
-    let mut out = searches::sum(service, &found, service.counts().arrived() - before, sent);
+    let mut out = bench.sum(&found).await?;
     for (name, seen) in [("lagging", lags), ("lying", lies)] {
         seen.into_outcome(name, &mut out);
     }
-    drop(site);
+    drop(bench);
     long_calls(context).await?.into_outcome(&mut out);
     Ok(out)
 }
--- a/crates/standin/src/measure/fanout.rs
+++ b/crates/standin/src/measure/fanout.rs
@@ -28,11 +28,7 @@
 async fn run(context: measure::Context) -> Result<measure::outcome::Outcome, measure::Error> {
     let mut spec = site::Spec::small(SERVICE, SHARDS);
     spec.work_ms = WORK_MS;
-    let mut config = site::Config::new(vec![spec]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let site = site::Site::start(config).await?;
+    let site = context.site(spec).await?;
     let service = site.service(SERVICE);
     service.set_faults(|faults| faults.straggler_share = 0.01);
     straggler::searches(&site, SERVICE, RATE, WARM_UP, context.seed, DEADLINE).await?;
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -67,6 +67,20 @@
     pub policy: query::Policy,
 }
 
+impl Context {
+    /// A site of one service and as many VMs as each user has today.
+    ///
+    /// # Errors
+    /// Where it can't start.
+    pub async fn site(self, spec: site::Spec) -> Result<site::Site, Error> {
+        let mut config = site::Config::new(vec![spec]);
+        config.policy = self.policy;
+        config.seed = self.seed;
+        config.vms = usize::from(site::VMS);
+        Ok(site::Site::start(config).await?)
+    }
+}
+
 /// A run under way.
 pub type Run = future::BoxFuture<'static, Result<outcome::Outcome, Error>>;
 
--- a/crates/standin/src/measure/overload.rs
+++ b/crates/standin/src/measure/overload.rs
@@ -29,31 +29,10 @@
         work_ms: WORK_MS,
         ..site::Spec::small(SERVICE, SHARDS)
     };
-    let mut config = site::Config::new(vec![spec]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let site = site::Site::start(config).await?;
-    let service = site.service(SERVICE);
-    let rate = service.capacity() * OVERLOAD;
-    let load = searches::Load {
-        rate,
-        span: searches::WARM_UP,
-        seed: context.seed,
-    };
-    searches::send(&site, SERVICE, load).await?;
-    let (before, sent) = (
-        service.counts().arrived(),
-        searches::Sent::read(&site).await?,
-    );
-    let load = searches::Load {
-        span: SPAN,
-        seed: context.seed + 1,
-        ..load
-    };
-    let found = searches::send(&site, SERVICE, load).await?;
-    let sent = searches::Sent::read(&site).await?.since(sent);
-    let mut out = searches::sum(service, &found, service.counts().arrived() - before, sent);
+    let bench = searches::Bench::start(context, spec, OVERLOAD, SPAN).await?;
+    let service = bench.service();
+    let found = bench.send().await?;
+    let mut out = bench.sum(&found).await?;
     let whole = found.iter().filter(|search| search.is_whole()).count() as f64;
     let goodput = whole / SPAN.as_secs_f64() / service.capacity();
     out.figure("goodput_of_capacity_share", goodput);
--- a/crates/standin/src/measure/registrations.rs
+++ b/crates/standin/src/measure/registrations.rs
@@ -51,11 +51,7 @@
 ];
 
 async fn run(context: measure::Context) -> Result<measure::outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.seed = context.seed;
-    config.policy = context.policy;
-    config.vms = 8;
-    let site = site::Site::start(config).await?;
+    let site = context.site(site::Spec::small(SERVICE, SHARDS)).await?;
     let mut out = measure::outcome::Outcome::default();
     steps(&site, context, &mut out).await?;
     faulty(&site, context, &mut out).await?;
--- a/crates/standin/src/measure/searches.rs
+++ b/crates/standin/src/measure/searches.rs
@@ -72,6 +72,78 @@
     Ok(searches.await)
 }
 
+/// A site that is warm, the load to be measured there, and what its homes and
+/// upstreams had counted before.
+#[derive(Debug)]
+pub struct Bench {
+    site: site::Site,
+    service: ids::Service,
+    load: Load,
+    arrived: u64,
+    sent: Sent,
+}
+
+impl Bench {
+    /// Starts a site of one service and warms it up. The load is `share` of
+    /// what the upstreams can run.
+    ///
+    /// # Errors
+    /// Where the site or a client can't be had.
+    pub async fn start(
+        context: measure::Context,
+        spec: site::Spec,
+        share: f64,
+        span: time::Duration,
+    ) -> Result<Self, measure::Error> {
+        let id = spec.id.clone();
+        let site = context.site(spec).await?;
+        let rate = site.service(id.as_str()).capacity() * share;
+        let warm_up = Load {
+            rate,
+            span: WARM_UP,
+            seed: context.seed,
+        };
+        send(&site, id.as_str(), warm_up).await?;
+        let arrived = site.service(id.as_str()).counts().arrived();
+        let sent = Sent::read(&site).await?;
+        let load = Load {
+            rate,
+            span,
+            seed: context.seed + 1,
+        };
+        Ok(Self {
+            site,
+            service: id,
+            load,
+            arrived,
+            sent,
+        })
+    }
+
+    /// The service.
+    pub fn service(&self) -> &site::Service {
+        self.site.service(self.service.as_str())
+    }
+
+    /// Sends the load.
+    ///
+    /// # Errors
+    /// Where the HTTP client can't be set up.
+    pub async fn send(&self) -> Result<Vec<Search>, measure::Error> {
+        send(&self.site, self.service.as_str(), self.load).await
+    }
+
+    /// Sums up what came back, with the load on upstreams since the start.
+    ///
+    /// # Errors
+    /// Where a VM's metrics can't be read.
+    pub async fn sum(&self, found: &[Search]) -> Result<outcome::Outcome, measure::Error> {
+        let sent = Sent::read(&self.site).await?.since(self.sent);
+        let arrived = self.service().counts().arrived() - self.arrived;
+        Ok(sum(self.service(), found, arrived, sent))
+    }
+}
+
 /// Calls that the homes sent, since their start.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Sent {
--- a/crates/standin/src/measure/silent.rs
+++ b/crates/standin/src/measure/silent.rs
@@ -28,28 +28,9 @@
 const AFTER: time::Duration = time::Duration::from_millis(1000);
 
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let site = site::Site::start(config).await?;
-    let service = site.service(SERVICE);
-    let rate = service.capacity() * LOAD;
-    let load = searches::Load {
-        rate,
-        span: searches::WARM_UP,
-        seed: context.seed,
-    };
-    searches::send(&site, SERVICE, load).await?;
-    let (before, sent) = (
-        service.counts().arrived(),
-        searches::Sent::read(&site).await?,
-    );
-    let load = searches::Load {
-        span: SPAN,
-        seed: context.seed + 1,
-        ..load
-    };
+    let bench =
+        searches::Bench::start(context, site::Spec::small(SERVICE, SHARDS), LOAD, SPAN).await?;
+    let service = bench.service();
     let silence = async {
         let start = tokio::time::Instant::now();
         for at in SILENCES {
@@ -57,10 +38,9 @@
             service.set_faults(|faults| faults.silence_open = true);
         }
     };
-    let (found, ()) = tokio::join!(searches::send(&site, SERVICE, load), silence);
+    let (found, ()) = tokio::join!(bench.send(), silence);
     let found = found?;
-    let sent = searches::Sent::read(&site).await?.since(sent);
-    let mut out = searches::sum(service, &found, service.counts().arrived() - before, sent);
+    let mut out = bench.sum(&found).await?;
     met(&found, &mut out);
     Ok(out)
 }
--- a/crates/standin/src/measure/stop.rs
+++ b/crates/standin/src/measure/stop.rs
@@ -24,19 +24,14 @@
 
 const SERVICE: &str = "foreman-search";
 const SHARDS: usize = 20;
-const VMS: usize = 4;
 const LOAD: f64 = 0.15;
 const WARM_UP: time::Duration = time::Duration::from_secs(2);
 const DEADLINE: time::Duration = time::Duration::from_millis(1000);
 /// Searches go on so long; enough for every stop.
-const SPAN: time::Duration = time::Duration::from_secs(14);
+const SPAN: time::Duration = time::Duration::from_secs(28);
 
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = VMS;
-    let mut site = site::Site::start(config).await?;
+    let mut site = context.site(site::Spec::small(SERVICE, SHARDS)).await?;
     let rate = site.service(SERVICE).capacity() * LOAD;
     send(&site, rate, WARM_UP, context.seed).await?.await;
     let before = site.service(SERVICE).counts().arrived();
@@ -52,7 +47,7 @@
     }
     let mut out = tally.outcome(arrived);
     out.absorb("", cut);
-    out.figure("stops", (VMS + 3) as f64);
+    out.figure("stops", f64::from(site::VMS + 3));
     out.figure("stops_took_ms", took.as_secs_f64() * 1e3);
     Ok(out)
 }
@@ -96,7 +91,7 @@
     let start = tokio::time::Instant::now();
     replace(site, 1).await?;
     replace(site, 2).await?;
-    for _ in 0..VMS {
+    for _ in 0..site::VMS {
         replace(site, 1).await?;
     }
     Ok(start.elapsed())
--- a/crates/standin/src/measure/straggler.rs
+++ b/crates/standin/src/measure/straggler.rs
@@ -26,11 +26,7 @@
 const DEADLINE: time::Duration = time::Duration::from_millis(1000);
 
 async fn run(context: measure::Context) -> Result<measure::outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let site = site::Site::start(config).await?;
+    let site = context.site(site::Spec::small(SERVICE, SHARDS)).await?;
     let service = site.service(SERVICE);
     service.set_faults(|faults| {
         faults.straggler_share = 0.01;
--- a/crates/standin/src/measure/together.rs
+++ b/crates/standin/src/measure/together.rs
@@ -45,11 +45,7 @@
 const RECOVERS: &str = "recovers by itself";
 
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.seed = context.seed;
-    config.policy = context.policy;
-    config.vms = 8;
-    let mut site = site::Site::start(config).await?;
+    let mut site = context.site(site::Spec::small(SERVICE, SHARDS)).await?;
     let caller = load::Caller::new(&site)?;
     let service = site.service(SERVICE);
     let (id, layout) = (service.id().clone(), service.layout.clone());
--- a/crates/standin/src/measure/versions.rs
+++ b/crates/standin/src/measure/versions.rs
@@ -38,11 +38,7 @@
 const KEPT: u64 = 3;
 
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let mut site = site::Site::start(config).await?;
+    let mut site = context.site(site::Spec::small(SERVICE, SHARDS)).await?;
     let whole = layout::Layout {
         version: ids::LayoutVersion(3),
         ..site.service(SERVICE).layout.clone()
--- a/crates/standin/src/measure/vm_loss.rs
+++ b/crates/standin/src/measure/vm_loss.rs
@@ -40,11 +40,7 @@
 const DEADLINE: time::Duration = time::Duration::from_millis(1000);
 
 async fn run(context: measure::Context) -> Result<outcome::Outcome, measure::Error> {
-    let mut config = site::Config::new(vec![site::Spec::small(SERVICE, SHARDS)]);
-    config.policy = context.policy;
-    config.seed = context.seed;
-    config.vms = 8;
-    let mut site = site::Site::start(config).await?;
+    let mut site = context.site(site::Spec::small(SERVICE, SHARDS)).await?;
     let rate = site.service(SERVICE).capacity() * LOAD;
     let caller = load::Caller::new(&site)?;
     let service = site.service(SERVICE).id().clone();
