--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod burn;
 mod check;
 mod failure;
+mod marks;
 mod show;
 mod status;
 mod table;
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -3,11 +3,13 @@
 use geraniumgauge::document;
 use geraniumgauge::finding;
 use geraniumgauge::ids;
+use geraniumgauge::quarantine;
 use geraniumgauge::store;
 use geraniumgauge::store::Api as _;
 use geraniumgauge::time;
 
 use crate::failure;
+use crate::marks;
 use crate::table;
 use crate::verbs;
 
@@ -22,14 +24,27 @@
         Some(status) => status,
         None => return Err(unknown(&store, &service).await),
     };
+    let now = time::Clock::start().wall();
+    let marks = marks::read(&store, &service, now).await?;
     if call.has("--json") {
-        println!("{}", table::json(&status));
-    } else {
-        println!("{}", text(&status, time::Clock::start().wall()));
+        println!("{}", table::json(&Shown { status, marks }));
+        return Ok(());
+    }
+    println!("{}", text(&status, now));
+    for line in marks::text(&marks, now) {
+        println!("{line}");
     }
     Ok(())
 }
 
+/// A status with what is held against requests, for other programs.
+#[derive(serde::Serialize)]
+struct Shown {
+    #[serde(flatten)]
+    status: document::Status,
+    marks: Vec<quarantine::Mark>,
+}
+
 /// The status of a service, where a keeper has written one.
 pub(crate) async fn read(
     store: &dyn store::Api,
