--- a/crates/geraniumgauge/src/document/report.rs
+++ b/crates/geraniumgauge/src/document/report.rs
@@ -77,3 +77,7 @@
         Some(changed)
     }
 }
+
+#[cfg(test)]
+#[path = "tests/report.rs"]
+mod tests;
