A body that doesn't come whole within ten seconds is refused

Cause: found while reading: a caller that stops in the middle of its body kept its place among the running requests, and a planned stop waited for it to the end of its grace period. Change: a bound on reading the body, and a test on paused time. Ruled out: less than 14 bytes; rocket waits for these itself, before our handler, so such a connection holds no place. Measured: the test passes in 0.14 s; without the bound it hangs. Conclusion: mended for what reaches our code.

--- a/crates/geraniumgauge/src/http/callers.rs
+++ b/crates/geraniumgauge/src/http/callers.rs
@@ -1,5 +1,7 @@
 //! Callers' paths.
 
+use std::time;
+
 use rocket::data;
 
 use crate::http;
@@ -9,6 +11,8 @@
 use crate::ledger;
 use crate::query;
 
+/// Longest wait for a whole body.
+const BODY: time::Duration = time::Duration::from_secs(10);
 /// Hits where the caller names no limit.
 const DEFAULT_HITS: u32 = 10;
 
@@ -205,9 +209,19 @@
     })
 }
 
+/// Reads a body. Failure: a caller that sends its body drop by drop, or whose
+/// connection went silent, would hold one of the requests that may run here for
+/// ever, and a planned stop would wait for it.
 async fn read(data: rocket::Data<'_>, limits: &http::Limits) -> Result<Vec<u8>, query::Refusal> {
     let limit = data::ByteUnit::from(limits.body.0);
-    let bytes = data.open(limit).into_bytes().await;
+    let reading = data.open(limit).into_bytes();
+    let late = |_| {
+        bad(format!(
+            "body: not whole after {} s; send it at once",
+            BODY.as_secs()
+        ))
+    };
+    let bytes = tokio::time::timeout(BODY, reading).await.map_err(late)?;
     let bytes = bytes.map_err(|error| bad(format!("body: can't be read: {error}")))?;
     if !bytes.is_complete() {
         let message = format!("body: more than {} bytes; send less", limits.body.0);
--- a/crates/geraniumgauge/src/http/tests.rs
+++ b/crates/geraniumgauge/src/http/tests.rs
@@ -307,3 +307,25 @@
             .contains(&address.to_string())
     );
 }
+
+/// Story: a caller's line breaks while it sends its body, and nothing closes the
+/// connection. The request must not be held for ever: it takes the place of
+/// another, and a planned stop waits for it. (Rocket itself waits for the first
+/// 14 bytes, before the request counts as one.)
+#[tokio::test(start_paused = true)]
+async fn a_body_that_never_ends_is_refused() {
+    let site = site(Limits::default()).await;
+    let mut stream = tokio::net::TcpStream::connect(site.callers.address())
+        .await
+        .unwrap();
+    let head = format!("POST {SEARCH} HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n");
+    stream
+        .write_all(format!("{head}{{\"query\": \"lime mix").as_bytes())
+        .await
+        .unwrap();
+    let mut answer = vec![0; 4096];
+    let length = stream.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    site.gate.idle().await;
+}
