Scenarios send their searches by one loop

Cause: reading the change again: the same open loop of searches stood in straggler, stop, vm-loss and together. Change: load::Searches; texts, seeds, rates and deadlines stay as they were.

--- a/crates/standin/src/measure/load.rs
+++ b/crates/standin/src/measure/load.rs
@@ -203,3 +203,44 @@
     let done = futures_util::future::join_all(tasks).await;
     done.into_iter().filter_map(Result::ok).collect()
 }
+
+/// Searches to be sent at random times.
+#[derive(Debug, Clone, Copy)]
+pub struct Searches {
+    /// Starts the text of each query; fifty different ones follow from the seed.
+    pub text: &'static str,
+    /// Searches a second on average.
+    pub rate: f64,
+    /// For how long.
+    pub span: time::Duration,
+    /// Seeds the arrivals.
+    pub seed: u64,
+    /// Deadline of each.
+    pub deadline: time::Duration,
+}
+
+impl Searches {
+    /// Sends them and waits for all; each with its query.
+    pub async fn send(
+        self,
+        caller: Caller,
+        service: ids::Service,
+    ) -> Vec<(serde_json::Value, Sample)> {
+        let Self {
+            text,
+            rate,
+            span,
+            seed,
+            deadline,
+        } = self;
+        open_loop(rate, span, seed, move |number| {
+            let (caller, service) = (caller.clone(), service.clone());
+            let query = serde_json::json!({ "text": format!("{text} {seed} {}", number % 50) });
+            async move {
+                let sample = caller.search(&service, &query, deadline).await;
+                (query, sample)
+            }
+        })
+        .await
+    }
+}
--- a/crates/standin/src/measure/stop.rs
+++ b/crates/standin/src/measure/stop.rs
@@ -62,17 +62,14 @@
 ) -> Result<impl Future<Output = Vec<Sent>> + use<>, measure::Error> {
     let caller = load::Caller::new(site)?;
     let service = site.service(SERVICE).id().clone();
-    Ok(async move {
-        load::open_loop(rate, span, seed, move |number| {
-            let (caller, service) = (caller.clone(), service.clone());
-            let query = serde_json::json!({ "text": format!("query {seed} {}", number % 50) });
-            async move {
-                let sample = caller.search(&service, &query, DEADLINE).await;
-                (query, sample)
-            }
-        })
-        .await
-    })
+    let searches = load::Searches {
+        text: "query",
+        rate,
+        span,
+        seed,
+        deadline: DEADLINE,
+    };
+    Ok(searches.send(caller, service))
 }
 
 /// A connection that broke is seen by [`tally::Tally`] already; here are
--- a/crates/standin/src/measure/straggler.rs
+++ b/crates/standin/src/measure/straggler.rs
@@ -50,15 +50,14 @@
 ) -> Result<tally::Tally, measure::Error> {
     let caller = load::Caller::new(site)?;
     let service = site.service(service);
-    let samples = load::open_loop(rate, span, seed, |number| {
-        let caller = caller.clone();
-        let id = service.id().clone();
-        let query = serde_json::json!({ "text": format!("query {seed} {}", number % 50) });
-        async move {
-            let sample = caller.search(&id, &query, deadline).await;
-            (query, sample)
-        }
-    });
+    let searches = load::Searches {
+        text: "query",
+        rate,
+        span,
+        seed,
+        deadline,
+    };
+    let samples = searches.send(caller, service.id().clone());
     let mut tally = tally::Tally::default();
     for (query, sample) in samples.await {
         tally.add(&service.layout, &query, &sample);
--- a/crates/standin/src/measure/together.rs
+++ b/crates/standin/src/measure/together.rs
@@ -103,15 +103,15 @@
     span: time::Duration,
     seed: u64,
 ) -> Vec<(serde_json::Value, load::Sample)> {
-    load::open_loop(rate, span, seed, |number| {
-        let (caller, service) = (caller.clone(), service.clone());
-        let query = serde_json::json!({ "text": format!("together {seed} {}", number % 50) });
-        async move {
-            let sample = caller.search(&service, &query, searches::DEADLINE).await;
-            (query, sample)
-        }
-    })
-    .await
+    let deadline = searches::DEADLINE;
+    let searches = load::Searches {
+        text: "together",
+        rate,
+        span,
+        seed,
+        deadline,
+    };
+    searches.send(caller, service).await
 }
 
 /// A killed VM breaks its callers' connections; nothing can be promised there.
--- a/crates/standin/src/measure/vm_loss.rs
+++ b/crates/standin/src/measure/vm_loss.rs
@@ -74,15 +74,14 @@
     span: time::Duration,
     seed: u64,
 ) -> Vec<Sent> {
-    load::open_loop(rate, span, seed, |number| {
-        let (caller, service) = (caller.clone(), service.clone());
-        let query = serde_json::json!({ "text": format!("query {seed} {}", number % 50) });
-        async move {
-            let sample = caller.search(&service, &query, DEADLINE).await;
-            (query, sample)
-        }
-    })
-    .await
+    let searches = load::Searches {
+        text: "query",
+        rate,
+        span,
+        seed,
+        deadline: DEADLINE,
+    };
+    searches.send(caller.clone(), service.clone()).await
 }
 
 /// Sums up; a request that was at a VM when it died is lost with it, and that
