--- /dev/null
+++ b/crates/geraniumgauge/src/edge/count.rs
@@ -0,0 +1,77 @@
+//! Counters and histograms of the edge.
+
+use std::time;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics;
+
+use crate::forward;
+
+/// The edge's instruments.
+#[derive(Debug, Clone)]
+pub struct Count {
+    requests: metrics::Counter<u64>,
+    seconds: metrics::Histogram<f64>,
+    calls: metrics::Counter<u64>,
+    ended: metrics::Counter<u64>,
+    call_seconds: metrics::Histogram<f64>,
+    connections: metrics::Counter<u64>,
+    missing: metrics::Counter<u64>,
+}
+
+impl Count {
+    /// The instruments of `meter`.
+    pub fn new(meter: &metrics::Meter) -> Self {
+        let bounds = vec![
+            0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.08, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0,
+        ];
+        let seconds = |name, about| {
+            let histogram = meter.f64_histogram(name).with_description(about);
+            histogram.with_unit("s").with_boundaries(bounds.clone()).build()
+        };
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        Self {
+            requests: counter("edge_requests", "Callers' requests answered, by route and outcome"),
+            seconds: seconds("edge_request", "Time from a request to its answer, by route"),
+            calls: counter("edge_calls", "Calls to upstreams begun, by why"),
+            ended: counter("edge_calls_ended", "Calls to upstreams ended, by how"),
+            call_seconds: seconds("edge_call", "Time from a call to its reply"),
+            connections: counter("edge_connections", "Connections to upstreams opened, by outcome"),
+            missing: counter("edge_missing_shards", "Shards left out of merged answers"),
+        }
+    }
+
+    /// A request was answered.
+    pub fn request(&self, route: &str, outcome: &'static str, took: time::Duration) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.seconds.record(took.as_secs_f64(), std::slice::from_ref(&route));
+        self.requests.add(1, &[route, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A merged answer left shards out.
+    pub fn missing(&self, shards: usize) {
+        self.missing.add(shards as u64, &[]);
+    }
+
+    /// A call began.
+    pub fn call(&self, why: forward::Why) {
+        let why = match why {
+            forward::Why::First => "first",
+            forward::Why::Hedge => "hedge",
+            forward::Why::NotRun => "not_run",
+            forward::Why::Failed => "failed",
+        };
+        self.calls.add(1, &[KeyValue::new("why", why)]);
+    }
+
+    /// A call ended.
+    pub fn ended(&self, how: &'static str, took: time::Duration) {
+        self.ended.add(1, &[KeyValue::new("how", how)]);
+        self.call_seconds.record(took.as_secs_f64(), &[]);
+    }
+
+    /// A connection to an upstream was tried.
+    pub fn connection(&self, outcome: &'static str) {
+        self.connections.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -0,0 +1,223 @@
+//! The handle by which tasks reach the edge's state.
+
+use std::cell;
+use std::rc;
+
+use tokio::sync;
+use tokio::sync::watch;
+
+use crate::edge;
+use crate::edge::link;
+use crate::edge::state;
+use crate::forward;
+use crate::h1;
+use crate::registry;
+use crate::route;
+use crate::time as clock;
+
+/// How far a stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Before the first configuration: not ready.
+    Starting,
+    /// Ready.
+    Serving,
+    /// Not ready any more, but every request is still served: the balancer
+    /// needs a while to notice.
+    Leaving,
+    /// Requests under way are finished, no new one is read.
+    Closing,
+}
+
+/// The edge of one VM; cheap to clone. Use it from one local set only.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    state: rc::Rc<cell::RefCell<state::State>>,
+    phase: rc::Rc<watch::Sender<Phase>>,
+    clock: clock::Clock,
+    names: h1::Names,
+    count: edge::Count,
+}
+
+impl Engine {
+    /// An edge without a configuration.
+    pub fn new(
+        fleet: forward::Fleet,
+        names: h1::Names,
+        clock: clock::Clock,
+        count: edge::Count,
+    ) -> Self {
+        let state = state::State::new(fleet, names, count.clone());
+        Self {
+            state: rc::Rc::new(cell::RefCell::new(state)),
+            phase: rc::Rc::new(watch::Sender::new(Phase::Starting)),
+            clock,
+            names,
+            count,
+        }
+    }
+
+    /// Takes a configuration. An older one than that in force changes nothing:
+    /// what was in force for one request must not be undone for the next.
+    pub fn configure(&self, config: route::Config) {
+        let mut state = self.state.borrow_mut();
+        let current = state.table.as_ref().map(|table| table.version());
+        if current.is_some_and(|current| current >= config.version) {
+            log::info!(version:% = config.version, current:? = current; "configuration not newer");
+            return;
+        }
+        let table = route::Table::new(config);
+        log::info!(
+            version:% = table.version(), before:? = current, routes = table.len();
+            "configuration in force"
+        );
+        state.fleet.keep_routes(&table);
+        state.table = Some(rc::Rc::new(table));
+        drop(state);
+        self.phase.send_if_modified(|phase| {
+            let first = *phase == Phase::Starting;
+            if first {
+                *phase = Phase::Serving;
+            }
+            first
+        });
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> Option<crate::ids::Generation> {
+        let state = self.state.borrow();
+        state.table.as_ref().map(|table| table.version())
+    }
+
+    /// Changes which upstreams there are.
+    pub fn upstreams(
+        &self,
+        change: impl FnOnce(&mut registry::Registry, clock::Moment) -> Vec<registry::Change>,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let changes = change(&mut state.fleet.registry, now);
+        state.changed(&changes, now);
+        self.carry_out(state);
+    }
+
+    /// Sets how many VMs may be alive.
+    pub fn set_vms(&self, vms: usize) {
+        let mut state = self.state.borrow_mut();
+        if state.fleet.vms() != vms {
+            log::info!(vms = vms, before = state.fleet.vms(); "number of VMs changed");
+            state.fleet.set_vms(vms);
+        }
+    }
+
+    /// How far a stop has come.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Goes on to a later phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|current| {
+            let later = phase > *current;
+            if later {
+                *current = phase;
+            }
+            later
+        });
+    }
+
+    /// Follows the phases.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Requests under way.
+    pub fn running(&self) -> usize {
+        self.state.borrow().running()
+    }
+
+    /// The edge's clock.
+    pub fn clock(&self) -> clock::Clock {
+        self.clock
+    }
+
+    pub(super) fn names(&self) -> &h1::Names {
+        &self.names
+    }
+
+    pub(super) fn count(&self) -> &edge::Count {
+        &self.count
+    }
+
+    /// The configuration in force.
+    pub(super) fn table(&self) -> Option<route::Shared> {
+        self.state.borrow().table.clone()
+    }
+
+    pub(super) fn submit(
+        &self,
+        entry: rc::Rc<route::table::Entry>,
+        request: h1::Request,
+        done: rc::Rc<sync::Notify>,
+    ) -> u64 {
+        self.with(|state, now| state.submit(entry, request, done, now))
+    }
+
+    pub(super) fn take(&self, id: u64) -> Option<(forward::Outcome, forward::Job)> {
+        self.state.borrow_mut().take(id)
+    }
+
+    pub(super) fn wake_at(&self, id: u64) -> Option<clock::Moment> {
+        self.state.borrow().wake_at(id)
+    }
+
+    pub(super) fn tick(&self, id: u64) {
+        self.with(|state, now| state.tick(id, now));
+    }
+
+    pub(super) fn cancel(&self, id: u64) {
+        self.with(|state, now| state.cancel(id, now));
+    }
+
+    /// Changes the state, then does what only tasks can.
+    pub(super) fn with<T>(
+        &self,
+        change: impl FnOnce(&mut state::State, clock::Moment) -> T,
+    ) -> T {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let result = change(&mut state, now);
+        self.carry_out(state);
+        result
+    }
+
+    fn carry_out(&self, mut state: cell::RefMut<'_, state::State>) {
+        if state.orders.is_empty() {
+            return;
+        }
+        for order in std::mem::take(&mut state.orders) {
+            match order {
+                state::Order::Open {
+                    link,
+                    address,
+                    head_only,
+                } => {
+                    let opened = link::Opening {
+                        engine: self.clone(),
+                        link,
+                        address,
+                        head_only,
+                    };
+                    let task = tokio::task::spawn_local(opened.run());
+                    state.started(link, task.abort_handle());
+                }
+                state::Order::Flush { link, writer, rest } => {
+                    tokio::task::spawn_local(link::flush(self.clone(), link, writer, rest));
+                }
+                state::Order::Sweep => {
+                    tokio::task::spawn_local(link::sweep(self.clone()));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/edge/mod.rs
@@ -0,0 +1,24 @@
+//! Callers' and upstreams' connections: carries out what [`crate::forward`]
+//! decides.
+//!
+//! Everything here runs on one thread, as tasks of one local set. [`Engine`]
+//! holds the state; no borrow of it outlives a call. A call to an upstream
+//! costs one write and one read: it is written from the task that decided it,
+//! and its reply is handled in the task that read it.
+
+mod answer;
+mod call;
+mod caller;
+mod count;
+mod engine;
+mod link;
+mod operators;
+mod pool;
+mod server;
+mod state;
+
+pub use count::Count;
+pub use engine::Engine;
+pub use engine::Phase;
+pub use operators::Operators;
+pub use server::Server;
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -0,0 +1,202 @@
+//! What all jobs of one VM share.
+
+use std::collections;
+use std::rc;
+use std::time;
+
+use crate::forward;
+use crate::ids;
+use crate::registry;
+use crate::route;
+use crate::time as clock;
+
+/// What an upstream is charged that said it has no room, or whose call is late:
+/// any other that can be tried goes before it.
+const AVOID: time::Duration = time::Duration::from_secs(1);
+/// What an upstream is charged whose registration vanished lately.
+const LAST_RESORT: time::Duration = time::Duration::from_secs(10);
+
+/// This VM, as far as choices depend on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Own {
+    /// Where it runs.
+    pub data_centre: ids::DataCentre,
+}
+
+/// A call that nobody waits for any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Orphan {
+    /// Where it runs.
+    pub upstream: registry::Handle,
+    /// When it began.
+    pub began: clock::Moment,
+    /// How long calls of its route usually take.
+    pub usual: time::Duration,
+}
+
+/// Upstreams, their standings, and the budgets of extra calls.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The upstreams known.
+    pub registry: registry::Registry,
+    /// How requests are run.
+    pub policy: forward::Policy,
+    own: Own,
+    standings: Vec<forward::Standing>,
+    budgets: collections::HashMap<ids::Service, forward::Budget>,
+    times: collections::HashMap<String, rc::Rc<forward::Times>>,
+    vms: usize,
+    calls: u64,
+}
+
+impl Fleet {
+    /// An empty fleet, seen from `own`.
+    pub fn new(own: Own, policy: forward::Policy) -> Self {
+        Self {
+            registry: registry::Registry::default(),
+            policy,
+            own,
+            standings: Vec::new(),
+            budgets: collections::HashMap::new(),
+            times: collections::HashMap::new(),
+            vms: 1,
+            calls: 0,
+        }
+    }
+
+    /// VMs that may be alive: they share the budgets and connection limits.
+    pub fn vms(&self) -> usize {
+        self.vms
+    }
+
+    /// Sets how many VMs may be alive.
+    pub fn set_vms(&mut self, vms: usize) {
+        self.vms = vms.max(1);
+    }
+
+    /// The usual times of a route's calls. They outlast a configuration.
+    pub fn times(&mut self, route: &route::Route) -> rc::Rc<forward::Times> {
+        if let Some(times) = self.times.get(&route.name) {
+            times.set_aim(route.aim);
+            return times.clone();
+        }
+        let times = rc::Rc::new(forward::Times::new(route.aim));
+        self.times.insert(route.name.clone(), times.clone());
+        times
+    }
+
+    /// Lets go of what was kept for routes that `table` doesn't name.
+    pub fn keep_routes(&mut self, table: &route::Table) {
+        let names: collections::HashSet<&str> =
+            table.entries().map(|entry| entry.route.name.as_str()).collect();
+        self.times.retain(|name, _| names.contains(name.as_str()));
+    }
+
+    /// The standing of an upstream.
+    pub fn standing(&mut self, upstream: registry::Handle) -> &mut forward::Standing {
+        if self.standings.len() <= upstream.index() {
+            self.standings.resize_with(self.registry.handles(), Default::default);
+        }
+        &mut self.standings[upstream.index()]
+    }
+
+    /// Counts a request to `service`.
+    pub fn first(&mut self, service: &ids::Service, now: clock::Moment) {
+        if let Some(budget) = self.budgets.get_mut(service) {
+            budget.first(&self.policy, now);
+            return;
+        }
+        let mut budget = forward::Budget::default();
+        budget.first(&self.policy, now);
+        self.budgets.insert(service.clone(), budget);
+    }
+
+    /// Pays for an extra call to `service`, where its budget has room.
+    pub fn extra(&mut self, service: &ids::Service, now: clock::Moment) -> bool {
+        let (policy, vms) = (self.policy, self.vms);
+        let budget = self.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.extra(&policy, vms, now))
+    }
+
+    /// Whether any upstream of `service` can be tried.
+    pub fn has_upstream(&mut self, service: &ids::Service, now: clock::Moment) -> bool {
+        self.choose(service, &[], time::Duration::ZERO, now).is_some()
+    }
+
+    /// The best upstream of `service` that isn't among `tried`, for a call that
+    /// usually takes `usual`.
+    pub fn choose(
+        &mut self,
+        service: &ids::Service,
+        tried: &[registry::Handle],
+        usual: time::Duration,
+        now: clock::Moment,
+    ) -> Option<registry::Handle> {
+        if self.standings.len() < self.registry.handles() {
+            self.standings.resize_with(self.registry.handles(), Default::default);
+        }
+        let mut best: Option<(time::Duration, registry::Handle)> = None;
+        let handles = self.registry.of(service);
+        // Of equals the first wins: starting elsewhere each time spreads them.
+        let start = self.calls as usize % handles.len().max(1);
+        for handle in handles[start..].iter().chain(&handles[..start]) {
+            if tried.contains(handle) {
+                continue;
+            }
+            let Some(cost) = self.cost(*handle, usual, now) else {
+                continue;
+            };
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, *handle));
+            }
+        }
+        best.map(|(_, handle)| handle)
+    }
+
+    /// What a call to an upstream is expected to cost; `None` where it can't be
+    /// tried.
+    fn cost(
+        &self,
+        handle: registry::Handle,
+        usual: time::Duration,
+        now: clock::Moment,
+    ) -> Option<time::Duration> {
+        let upstream = self.registry.get(handle);
+        let standing = &self.standings[handle.index()];
+        let usable = upstream.usable(now);
+        if usable == registry::Use::Never || !standing.up(now) {
+            return None;
+        }
+        let cold = now < upstream.warm_at;
+        let mut cost = standing.expect(usual, upstream.entry.slots, cold, now);
+        if upstream.entry.data_centre != self.own.data_centre {
+            cost += self.policy.far_penalty;
+        }
+        if standing.is_late() || standing.is_full(now) {
+            cost += AVOID;
+        }
+        if usable == registry::Use::LastResort {
+            cost += LAST_RESORT;
+        }
+        Some(cost)
+    }
+
+    /// Takes the end of a call that nobody waited for any more: with a reply
+    /// after `took`, or given up without one.
+    pub fn orphan_ended(&mut self, orphan: &Orphan, replied: bool, now: clock::Moment) {
+        let ratio = forward::ratio(now.since(orphan.began), orphan.usual);
+        let standing = self.standing(orphan.upstream);
+        standing.end();
+        if replied {
+            standing.replied(ratio, orphan.began, now);
+        } else {
+            standing.given_up(ratio, orphan.began, now);
+        }
+    }
+
+    /// A call's id, never used before by this process.
+    pub fn next_call(&mut self) -> ids::Attempt {
+        self.calls += 1;
+        ids::Attempt(self.calls)
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/job.rs
@@ -0,0 +1,503 @@
+//! One request on its way.
+
+use std::rc;
+use std::time;
+
+use crate::forward;
+use crate::forward::part;
+use crate::ids;
+use crate::route;
+use crate::time as clock;
+
+/// Pause told to callers of a service without an upstream. Crashed upstreams
+/// are back after seconds, but another VM may reach one now.
+const NO_UPSTREAM_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Pause told to callers where upstreams have no room: some queue has drained
+/// by then, and callers that were refused together return apart.
+const NO_ROOM_PAUSE: time::Duration = time::Duration::from_millis(40);
+
+/// What a job starts from.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The route.
+    pub entry: rc::Rc<route::table::Entry>,
+    /// When it was read.
+    pub began: clock::Moment,
+    /// How long its caller waits.
+    pub time_left: Option<time::Duration>,
+}
+
+/// One request on its way: a state machine without I/O.
+#[derive(Debug)]
+pub struct Job {
+    entry: rc::Rc<route::table::Entry>,
+    times: rc::Rc<forward::Times>,
+    parts: Vec<part::Part>,
+    /// Parts with calls under way.
+    open: usize,
+    done: usize,
+    began: clock::Moment,
+    /// When an answer that lacks shards is better than a later one.
+    answer_at: clock::Moment,
+    /// When the final answer goes out, whatever it is.
+    deadline: clock::Moment,
+    hedge_after: time::Duration,
+    next_hedge: Option<clock::Moment>,
+    finished: bool,
+}
+
+impl Job {
+    /// A job for `request`. [`Self::start`] makes its first calls.
+    pub fn new(request: Request, fleet: &mut forward::Fleet) -> Self {
+        let route = &request.entry.route;
+        let times = fleet.times(route);
+        let policy = &fleet.policy;
+        let wait = request.time_left.unwrap_or(route.timeout).min(route.timeout);
+        // A tenth of a short wait is left for the way back.
+        let margin = policy.deadline_margin.min(wait / 10);
+        let hedge_after = Self::hedge_after(route.aim, times.median(), policy);
+        let services: Vec<ids::Service> = match &route.target {
+            route::Target::One(split) => {
+                let place = request.entry.split.borrow_mut().deal();
+                split.get(place).map(|part| part.service.clone()).into_iter().collect()
+            }
+            route::Target::Shards(shards) => shards.services.clone(),
+        };
+        Self {
+            parts: services.into_iter().map(part::Part::new).collect(),
+            times,
+            open: 0,
+            done: 0,
+            began: request.began,
+            answer_at: request.began + route.aim.saturating_sub(policy.answer_margin),
+            deadline: request.began + wait.saturating_sub(margin),
+            hedge_after,
+            next_hedge: None,
+            finished: false,
+            entry: request.entry,
+        }
+    }
+
+    /// A call is late after the policy's part of the aim, but not while most
+    /// calls of the route still run.
+    fn hedge_after(
+        aim: time::Duration,
+        median: time::Duration,
+        policy: &forward::Policy,
+    ) -> time::Duration {
+        let share = aim.mul_f64(policy.hedge_at.get());
+        share.max(median.mul_f64(1.8)).min(aim.mul_f64(0.6))
+    }
+
+    /// The route.
+    pub fn route(&self) -> &route::Route {
+        &self.entry.route
+    }
+
+    /// When [`Self::tick`] is to be called next.
+    pub fn wake_at(&self) -> clock::Moment {
+        let mut at = self.deadline;
+        if self.is_sharded() && self.answer_at < at && self.done < self.parts.len() {
+            at = self.answer_at;
+        }
+        self.next_hedge.map_or(at, |hedge| hedge.min(at))
+    }
+
+    /// When the final answer goes out, whatever it is.
+    pub fn deadline(&self) -> clock::Moment {
+        self.deadline
+    }
+
+    /// When the request was read.
+    pub fn began(&self) -> clock::Moment {
+        self.began
+    }
+
+    /// Parts that have their reply, and all of them.
+    pub fn progress(&self) -> (usize, usize) {
+        (self.done, self.parts.len())
+    }
+
+    /// Makes the first calls, or refuses at once what can't be served.
+    pub fn start(
+        &mut self,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        for part in &self.parts {
+            fleet.first(&part.service, now);
+        }
+        self.open = self.parts.len();
+        if !self.can_start(fleet, now) {
+            return self.refuse(forward::Reason::NoUpstream, NO_UPSTREAM_PAUSE, actions);
+        }
+        for place in 0..self.parts.len() {
+            self.call(place, forward::Why::First, fleet, now, actions);
+        }
+        self.plan_hedges();
+        self.settle(actions);
+    }
+
+    /// A call was answered, or is known to get no answer.
+    pub fn ended(
+        &mut self,
+        place: usize,
+        call: ids::Attempt,
+        verdict: forward::Verdict,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let Some(part) = self.parts.get_mut(place) else {
+            return;
+        };
+        let Some(call) = part.take(call) else {
+            return;
+        };
+        let standing = fleet.standing(call.upstream);
+        standing.end();
+        let took = now.since(call.began);
+        match verdict {
+            forward::Verdict::Good(reply) => {
+                standing.replied(forward::ratio(took, self.times.median()), call.began, now);
+                self.times.add(took);
+                self.complete(place, reply, actions);
+            }
+            forward::Verdict::Failure(reply) => {
+                standing.failed(now);
+                part.failure = Some(reply);
+                self.again(place, forward::Why::Failed, fleet, now, actions);
+            }
+            forward::Verdict::NotRun { retry_after } => {
+                standing.full(retry_after.unwrap_or(NO_ROOM_PAUSE), now);
+                self.not_run(place, fleet, now, actions);
+            }
+            forward::Verdict::Misdirected => {
+                standing.misdirected();
+                self.not_run(place, fleet, now, actions);
+            }
+            forward::Verdict::NotSent => self.not_run(place, fleet, now, actions),
+            forward::Verdict::Lost => {
+                standing.failed(now);
+                self.again(place, forward::Why::Failed, fleet, now, actions);
+            }
+        }
+        self.settle(actions);
+    }
+
+    /// Hedges, answers with what there is, or gives up, as the time says.
+    pub fn tick(
+        &mut self,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        if self.finished {
+            return;
+        }
+        if now >= self.deadline {
+            return self.time_over(actions);
+        }
+        if self.is_sharded() && now >= self.answer_at {
+            if self.enough() {
+                return self.finish_merged(actions);
+            }
+            // From here on only a whole answer, or the deadline, ends it.
+            self.answer_at = self.deadline;
+        }
+        if self.next_hedge.is_some_and(|at| at <= now) {
+            self.hedge(fleet, now, actions);
+            self.plan_hedges();
+        }
+    }
+
+    /// Nobody waits any more: the caller left.
+    pub fn cancel(&mut self, actions: &mut Vec<forward::Action>) {
+        self.finished = true;
+        self.abandon(actions);
+    }
+
+    /// Lets go of the calls under way. From here on, what becomes of them is
+    /// told to [`forward::Fleet::orphan_ended`].
+    pub fn abandon(&mut self, actions: &mut Vec<forward::Action>) {
+        for part in &mut self.parts {
+            let calls = part.calls.drain(..);
+            actions.extend(calls.map(|call| forward::Action::Abandon(call.id)));
+        }
+    }
+
+    /// The usual times of the route's calls.
+    pub fn times(&self) -> &rc::Rc<forward::Times> {
+        &self.times
+    }
+
+    fn is_sharded(&self) -> bool {
+        matches!(self.entry.route.target, route::Target::Shards(_))
+    }
+
+    fn least(&self) -> f64 {
+        match &self.entry.route.target {
+            route::Target::One(_) => 1.0,
+            route::Target::Shards(shards) => shards.least.get(),
+        }
+    }
+
+    /// Whether `count` parts make an answer.
+    fn suffices(&self, count: usize) -> bool {
+        count > 0 && count as f64 >= self.least() * self.parts.len() as f64
+    }
+
+    fn enough(&self) -> bool {
+        self.suffices(self.done)
+    }
+
+    fn can_start(&self, fleet: &mut forward::Fleet, now: clock::Moment) -> bool {
+        let live = self
+            .parts
+            .iter()
+            .filter(|part| fleet.has_upstream(&part.service, now))
+            .count();
+        self.suffices(live)
+    }
+
+    /// Makes a call for a part; marks the part failed where none can be made.
+    fn call(
+        &mut self,
+        place: usize,
+        why: forward::Why,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let usual = self.times.median();
+        let part = &mut self.parts[place];
+        let Some(upstream) = fleet.choose(&part.service, &part.tried, usual, now) else {
+            if part.calls.is_empty() {
+                self.fail(place, forward::Reason::NoUpstream);
+            }
+            return;
+        };
+        if part.arrived && !fleet.extra(&part.service, now) {
+            if part.calls.is_empty() {
+                self.fail(place, forward::Reason::NoRoom);
+            }
+            return;
+        }
+        let id = fleet.next_call();
+        fleet.standing(upstream).start();
+        part.arrived = true;
+        part.may_have_run += 1;
+        part.tried.push(upstream);
+        part.calls.push(part::Call {
+            id,
+            upstream,
+            began: now,
+        });
+        part.hedge_at = None;
+        let repeatable = self.entry.route.repeat == route::Repeat::Idempotent;
+        if repeatable && part.may_have_run < self.entry.route.attempts {
+            part.hedge_at = Some(now + self.hedge_after);
+        }
+        actions.push(forward::Action::Send {
+            call: id,
+            part: place,
+            upstream,
+            why,
+        });
+    }
+
+    fn not_run(
+        &mut self,
+        place: usize,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let part = &mut self.parts[place];
+        part.may_have_run -= 1;
+        part.not_run += 1;
+        if part.not_run > part::MAX_NOT_RUN {
+            if part.calls.is_empty() {
+                self.fail(place, forward::Reason::NoRoom);
+            }
+            return;
+        }
+        self.again(place, forward::Why::NotRun, fleet, now, actions);
+    }
+
+    /// Calls again after a call of the part ended without a reply of use.
+    fn again(
+        &mut self,
+        place: usize,
+        why: forward::Why,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let route = &self.entry.route;
+        let part = &self.parts[place];
+        if !part.is_open() || self.finished {
+            return;
+        }
+        let may = match route.repeat {
+            route::Repeat::Idempotent => part.may_have_run < route.attempts,
+            route::Repeat::Once => part.may_have_run == 0,
+        };
+        if may {
+            self.call(place, why, fleet, now, actions);
+        } else if part.calls.is_empty() {
+            self.fail(place, forward::Reason::UpstreamsFailed);
+        }
+        self.plan_hedges();
+    }
+
+    fn hedge(
+        &mut self,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        for place in 0..self.parts.len() {
+            let part = &mut self.parts[place];
+            if !part.is_open() || part.hedge_at.is_none_or(|at| at > now) {
+                continue;
+            }
+            part.hedge_at = None;
+            for call in &part.calls {
+                fleet.standing(call.upstream).late(call.began);
+            }
+            self.call(place, forward::Why::Hedge, fleet, now, actions);
+        }
+    }
+
+    fn plan_hedges(&mut self) {
+        let open = self.parts.iter().filter(|part| part.is_open());
+        self.next_hedge = open.filter_map(|part| part.hedge_at).min();
+    }
+
+    fn complete(
+        &mut self,
+        place: usize,
+        reply: crate::h1::Reply,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let part = &mut self.parts[place];
+        if !part.is_open() {
+            return;
+        }
+        part.state = part::State::Done(reply);
+        part.hedge_at = None;
+        self.done += 1;
+        self.open -= 1;
+        let lost = part.calls.drain(..);
+        actions.extend(lost.map(|call| forward::Action::Abandon(call.id)));
+    }
+
+    fn fail(&mut self, place: usize, reason: forward::Reason) {
+        let part = &mut self.parts[place];
+        if part.is_open() {
+            part.state = part::State::Failed(reason);
+            part.hedge_at = None;
+            self.open -= 1;
+        }
+    }
+
+    /// Ends the job as soon as its end is certain.
+    fn settle(&mut self, actions: &mut Vec<forward::Action>) {
+        if self.finished {
+            return;
+        }
+        if !self.suffices(self.done + self.open) {
+            return self.finish_failed(actions);
+        }
+        if self.open > 0 {
+            return;
+        }
+        if self.is_sharded() {
+            self.finish_merged(actions);
+        } else {
+            self.finish_reply(actions);
+        }
+    }
+
+    fn time_over(&mut self, actions: &mut Vec<forward::Action>) {
+        if self.is_sharded() && self.enough() {
+            self.finish_merged(actions);
+        } else {
+            let reason = forward::Reason::Timeout;
+            self.finish(forward::Outcome::Unknown { reason }, actions);
+        }
+    }
+
+    fn finish_reply(&mut self, actions: &mut Vec<forward::Action>) {
+        let Some(part) = self.parts.first_mut() else {
+            return;
+        };
+        let state = std::mem::replace(&mut part.state, part::State::Open);
+        if let part::State::Done(reply) = state {
+            self.finish(forward::Outcome::Reply(reply), actions);
+        }
+    }
+
+    fn finish_merged(&mut self, actions: &mut Vec<forward::Action>) {
+        let route::Target::Shards(shards) = &self.entry.route.target else {
+            return;
+        };
+        let done = self.parts.iter().filter_map(|part| match &part.state {
+            part::State::Done(reply) => Some(reply),
+            _ => None,
+        });
+        let signatures = done.clone().filter_map(|reply| reply.signature.clone()).collect();
+        let records = forward::top(done.map(|reply| reply.body.as_ref()), shards.top);
+        let merged = forward::Merged {
+            signatures,
+            missing: self.parts.len() - self.done,
+            records,
+        };
+        self.finish(forward::Outcome::Merged(merged), actions);
+    }
+
+    /// Tells the caller the truth about a request that can't succeed any more:
+    /// an upstream's own failure, not run, or unknown.
+    fn finish_failed(&mut self, actions: &mut Vec<forward::Action>) {
+        if !self.is_sharded()
+            && let Some(reply) = self.parts.first_mut().and_then(|part| part.failure.take())
+        {
+            return self.finish(forward::Outcome::Reply(reply), actions);
+        }
+        let reasons = self.parts.iter().filter_map(|part| match part.state {
+            part::State::Failed(reason) => Some(reason),
+            _ => None,
+        });
+        let full = reasons.clone().any(|reason| reason == forward::Reason::NoRoom);
+        let reason = match (self.is_sharded(), reasons.last()) {
+            (false, Some(reason)) => reason,
+            _ if full => forward::Reason::NoRoom,
+            _ => forward::Reason::TooFewShards,
+        };
+        if self.parts.iter().any(|part| part.may_have_run > 0) {
+            return self.finish(forward::Outcome::Unknown { reason }, actions);
+        }
+        self.refuse(reason, NO_ROOM_PAUSE, actions);
+    }
+
+    fn refuse(
+        &mut self,
+        reason: forward::Reason,
+        retry_after: time::Duration,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let refusal = forward::Outcome::NotRun {
+            reason,
+            retry_after,
+        };
+        self.finish(refusal, actions);
+    }
+
+    fn finish(&mut self, outcome: forward::Outcome, actions: &mut Vec<forward::Action>) {
+        self.finished = true;
+        self.abandon(actions);
+        actions.push(forward::Action::Finish(outcome));
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -0,0 +1,191 @@
+//! Decides to which upstreams a request goes, and what its caller is told.
+//!
+//! A [`Job`] is one request: one part for a route to a single upstream, one
+//! part a shard otherwise. It takes events and answers with [`Action`]s;
+//! [`Fleet`] holds what all jobs of a VM share: which upstreams there are, how
+//! they did lately, and what may be spent on extra calls. No I/O.
+
+mod budget;
+mod fleet;
+mod job;
+mod merge;
+mod part;
+mod standing;
+mod times;
+
+pub use budget::Budget;
+pub use fleet::Fleet;
+pub use fleet::Orphan;
+pub use fleet::Own;
+pub use job::Job;
+pub use job::Request;
+pub use merge::RECORD;
+pub use merge::top;
+pub use standing::Standing;
+pub use times::Times;
+
+use std::time;
+
+use crate::h1;
+use crate::ids;
+use crate::rate;
+use crate::registry;
+
+/// How requests are run. Times are of this VM's clock.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Policy {
+    /// Part of a route's aim after which a call counts as late and its part is
+    /// hedged. A third leaves the other upstream time to answer within the aim.
+    pub hedge_at: rate::Share,
+    /// Left of the aim when an answer must be on its way: the way to the caller
+    /// and the time until this process gets its turn.
+    pub answer_margin: time::Duration,
+    /// Left of the deadline when the final answer must be on its way.
+    pub deadline_margin: time::Duration,
+    /// What a call to another data centre must save to be preferred over one
+    /// to the same: the way there and back, and the price of its bytes.
+    pub far_penalty: time::Duration,
+    /// Extra calls to a service's upstreams that all VMs together may make, as
+    /// a share of its requests.
+    pub extra_share: rate::Share,
+    /// Extra calls to a service's upstreams in a window, beside that share.
+    pub extra_calls: f64,
+    /// The window in which they are counted.
+    pub extra_window: time::Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            hedge_at: rate::Share::percent(30),
+            answer_margin: time::Duration::from_millis(10),
+            deadline_margin: time::Duration::from_millis(20),
+            far_penalty: time::Duration::from_millis(6),
+            extra_share: rate::Share::percent(20),
+            extra_calls: 10.0,
+            extra_window: time::Duration::from_secs(10),
+        }
+    }
+}
+
+/// Why a call is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum Why {
+    /// It is the part's first.
+    #[display("first")]
+    First,
+    /// The one before is late.
+    #[display("hedge")]
+    Hedge,
+    /// The one before wasn't run.
+    #[display("not_run")]
+    NotRun,
+    /// The one before failed, and the request may run again.
+    #[display("failed")]
+    Failed,
+}
+
+/// What is to be done for a job.
+#[derive(Debug)]
+pub enum Action {
+    /// Call an upstream.
+    Send {
+        /// The call's id.
+        call: ids::Attempt,
+        /// The part it is for.
+        part: usize,
+        /// The upstream.
+        upstream: registry::Handle,
+        /// Why.
+        why: Why,
+    },
+    /// Nobody waits for this call any more.
+    Abandon(ids::Attempt),
+    /// The job is over.
+    Finish(Outcome),
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub enum Verdict {
+    /// The upstream ran it and replied with success.
+    Good(h1::Reply),
+    /// The upstream replied with a failure of its own: it may have run.
+    Failure(h1::Reply),
+    /// It wasn't run: the upstream said so.
+    NotRun {
+        /// How long the upstream asks to be left alone, where it does.
+        retry_after: Option<time::Duration>,
+    },
+    /// It wasn't run: another upstream has the address.
+    Misdirected,
+    /// It wasn't run: no byte of it was sent.
+    NotSent,
+    /// Its connection ended, or its reply can't be used: it may have run.
+    Lost,
+}
+
+/// Why a request got no answer from an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum Reason {
+    /// No upstream that could run it is known to live.
+    #[display("no_upstream")]
+    NoUpstream,
+    /// The upstreams have no room.
+    #[display("no_room")]
+    NoRoom,
+    /// Too few shards can still answer.
+    #[display("too_few_shards")]
+    TooFewShards,
+    /// Calls failed.
+    #[display("upstreams_failed")]
+    UpstreamsFailed,
+    /// The time is over.
+    #[display("timeout")]
+    Timeout,
+    /// The request crashes upstreams.
+    #[display("quarantined")]
+    Quarantined,
+}
+
+/// What the caller is told.
+#[derive(Debug)]
+pub enum Outcome {
+    /// An upstream's own reply.
+    Reply(h1::Reply),
+    /// Merged from the replies of shards.
+    Merged(Merged),
+    /// Not run, and never will be.
+    NotRun {
+        /// Why.
+        reason: Reason,
+        /// When to come back.
+        retry_after: time::Duration,
+    },
+    /// It may have run.
+    Unknown {
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// An answer that was merged from the replies of shards.
+#[derive(Debug)]
+pub struct Merged {
+    /// The signatures of the parts that are in.
+    pub signatures: Vec<String>,
+    /// How many shards are left out.
+    pub missing: usize,
+    /// The greatest records, falling.
+    pub records: Vec<u8>,
+}
+
+/// A call's time by the usual one.
+fn ratio(took: time::Duration, usual: time::Duration) -> f64 {
+    took.as_secs_f64() / usual.as_secs_f64().max(1e-6)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -0,0 +1,75 @@
+//! One part of a job: what one service's upstreams are asked for.
+
+use crate::forward;
+use crate::h1;
+use crate::ids;
+use crate::registry;
+use crate::time as clock;
+
+/// Calls of one part that were proven not run, beyond which it is given up.
+/// Each costs its service an arrival, so trying on doesn't help a full one.
+pub(super) const MAX_NOT_RUN: u32 = 3;
+
+/// A call under way.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Call {
+    pub(super) id: ids::Attempt,
+    pub(super) upstream: registry::Handle,
+    pub(super) began: clock::Moment,
+}
+
+/// How a part stands.
+#[derive(Debug)]
+pub(super) enum State {
+    /// Calls are under way.
+    Open,
+    /// It has its reply.
+    Done(h1::Reply),
+    /// It won't have one.
+    Failed(forward::Reason),
+}
+
+/// One part.
+#[derive(Debug)]
+pub(super) struct Part {
+    pub(super) service: ids::Service,
+    pub(super) state: State,
+    pub(super) calls: Vec<Call>,
+    pub(super) tried: Vec<registry::Handle>,
+    /// Calls that may have run, those under way included.
+    pub(super) may_have_run: u32,
+    /// Calls that were proven not run.
+    pub(super) not_run: u32,
+    /// Whether an arrival was counted: the first one isn't extra.
+    pub(super) arrived: bool,
+    /// When it is hedged; `None` where it was, or can't be.
+    pub(super) hedge_at: Option<clock::Moment>,
+    /// An upstream's own failure, told to the caller where nothing better comes.
+    pub(super) failure: Option<h1::Reply>,
+}
+
+impl Part {
+    pub(super) fn new(service: ids::Service) -> Self {
+        Self {
+            service,
+            state: State::Open,
+            calls: Vec::with_capacity(2),
+            tried: Vec::with_capacity(2),
+            may_have_run: 0,
+            not_run: 0,
+            arrived: false,
+            hedge_at: None,
+            failure: None,
+        }
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        matches!(self.state, State::Open)
+    }
+
+    /// Takes the call off those under way.
+    pub(super) fn take(&mut self, id: ids::Attempt) -> Option<Call> {
+        let place = self.calls.iter().position(|call| call.id == id)?;
+        Some(self.calls.swap_remove(place))
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/standing.rs
@@ -0,0 +1,177 @@
+//! What this VM's own calls show of one upstream.
+
+use std::time;
+
+use crate::time as clock;
+
+/// Weight of the newest call in the running slowness.
+const NEWEST: f64 = 0.3;
+/// Weight of a slow reply once several came in a row.
+const NEWEST_SLOW: f64 = 0.6;
+/// Times the usual from which a reply is slow. Work varies by a third either
+/// way, and one call in a hundred takes five times as long.
+const SLOW: f64 = 3.0;
+/// Slow replies in a row from which the upstream counts as slow.
+const SLOW_IN_A_ROW: u32 = 2;
+/// A call is taken as at most this many times slower than usual, so that one
+/// straggler doesn't rule an upstream out for long.
+const MOST: f64 = 12.0;
+/// How fast an upstream's slowness is forgotten while it gets no calls: after
+/// this time a third of it is left, and it is tried again. Long enough to spare
+/// most calls a slow spell of seconds, short enough to use it again after one.
+const FORGET: time::Duration = time::Duration::from_millis(1500);
+/// First pause after a failed connection.
+const BACKOFF: time::Duration = time::Duration::from_millis(100);
+/// Longest pause after failed connections. An upstream that restarts is back
+/// after some seconds; a try a second costs little.
+const BACKOFF_MOST: time::Duration = time::Duration::from_millis(1000);
+/// How much slower an upstream is taken to be that is warming up.
+const COLD: f64 = 1.6;
+
+/// The standing of one upstream.
+#[derive(Debug, Clone)]
+pub struct Standing {
+    running: u32,
+    slowness: f64,
+    seen: clock::Moment,
+    overdue: Option<clock::Moment>,
+    slow_replies: u32,
+    slow_until: clock::Moment,
+    failures: u32,
+    down_until: clock::Moment,
+    full_until: clock::Moment,
+    misdirected: bool,
+}
+
+impl Default for Standing {
+    fn default() -> Self {
+        Self {
+            running: 0,
+            slowness: 1.0,
+            seen: clock::Moment::default(),
+            overdue: None,
+            slow_replies: 0,
+            slow_until: clock::Moment::default(),
+            failures: 0,
+            down_until: clock::Moment::default(),
+            full_until: clock::Moment::default(),
+            misdirected: false,
+        }
+    }
+}
+
+impl Standing {
+    /// A call goes out.
+    pub fn start(&mut self) {
+        self.running += 1;
+    }
+
+    /// A call is over, however it ended.
+    pub fn end(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// It replied to a call that began at `began`; `ratio` is the call's time by
+    /// the route's usual one.
+    pub fn replied(&mut self, ratio: f64, began: clock::Moment, now: clock::Moment) {
+        self.overdue = None;
+        self.failures = 0;
+        self.down_until = clock::Moment::default();
+        if ratio > SLOW {
+            return self.slow(ratio, began, now);
+        }
+        self.slow_replies = 0;
+        self.learn(NEWEST, ratio, now);
+    }
+
+    /// A call that began at `began` has no reply yet though it is late.
+    pub fn late(&mut self, began: clock::Moment) {
+        self.overdue.get_or_insert(began);
+    }
+
+    /// A call that began at `began` was given up, with no reply after `ratio`
+    /// times the usual time.
+    pub fn given_up(&mut self, ratio: f64, began: clock::Moment, now: clock::Moment) {
+        self.overdue = None;
+        if ratio > SLOW {
+            self.slow(ratio, began, now);
+        }
+    }
+
+    /// Calls that wait behind one pause are slow together and count once: an
+    /// upstream that pauses now and then isn't slow afterwards, and leaving it
+    /// alone would move its load to the others for seconds.
+    fn slow(&mut self, ratio: f64, began: clock::Moment, now: clock::Moment) {
+        if began < self.slow_until {
+            return;
+        }
+        self.slow_until = now;
+        self.slow_replies += 1;
+        if self.slow_replies >= SLOW_IN_A_ROW {
+            self.learn(NEWEST_SLOW, ratio, now);
+        }
+    }
+
+    fn learn(&mut self, weight: f64, ratio: f64, now: clock::Moment) {
+        let before = self.slowness(now);
+        self.slowness = before + weight * (ratio.min(MOST) - before);
+        self.seen = now;
+    }
+
+    /// It replied with a failure, or a call's connection was lost.
+    pub fn failed(&mut self, now: clock::Moment) {
+        self.overdue = None;
+        self.learn(NEWEST, MOST / 2.0, now);
+    }
+
+    /// No connection could be made.
+    pub fn unreachable(&mut self, now: clock::Moment) {
+        let pause = BACKOFF * 2_u32.pow(self.failures.min(4));
+        self.failures += 1;
+        self.down_until = now + pause.min(BACKOFF_MOST);
+        self.overdue = None;
+    }
+
+    /// It said that it has no room, and when to come back.
+    pub fn full(&mut self, pause: time::Duration, now: clock::Moment) {
+        self.full_until = now + pause;
+    }
+
+    /// Another upstream answered at its address.
+    pub fn misdirected(&mut self) {
+        self.misdirected = true;
+    }
+
+    /// Whether it can be tried at `now`.
+    pub fn up(&self, now: clock::Moment) -> bool {
+        !self.misdirected && self.down_until <= now
+    }
+
+    /// Whether it said lately that it has no room.
+    pub fn is_full(&self, now: clock::Moment) -> bool {
+        self.full_until > now
+    }
+
+    /// Whether a call to it is overdue.
+    pub fn is_late(&self) -> bool {
+        self.overdue.is_some()
+    }
+
+    /// Calls that run there for this VM.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// How many times slower than usual it is taken to be.
+    pub fn slowness(&self, now: clock::Moment) -> f64 {
+        let age = now.since(self.seen).as_secs_f64() / FORGET.as_secs_f64();
+        1.0 + (self.slowness - 1.0) * (-age).exp()
+    }
+
+    /// The time that a call is expected to take which usually takes `usual`.
+    pub fn expect(&self, usual: time::Duration, slots: u32, cold: bool, now: clock::Moment) -> time::Duration {
+        let queued = f64::from((self.running + 1).saturating_sub(slots)) / f64::from(slots.max(1));
+        let cold = if cold { COLD } else { 1.0 };
+        usual.mul_f64(self.slowness(now).max(0.2) * cold * (1.0 + queued))
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/h1/head.rs
@@ -0,0 +1,109 @@
+//! What request and reply heads have in common.
+
+use crate::h1;
+
+/// Headers that concern one connection and are never passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// How a head says that its body is framed, and what it says of its connection.
+#[derive(Debug, Default)]
+pub(super) struct Framing<'h> {
+    pub(super) length: Option<usize>,
+    pub(super) chunked: bool,
+    pub(super) close: bool,
+    pub(super) keep_alive: bool,
+    /// Values of `Connection`: headers named there concern this connection too.
+    named: Vec<&'h str>,
+}
+
+impl<'h> Framing<'h> {
+    /// Reads the framing headers.
+    ///
+    /// # Errors
+    /// Where two readers could see the message end at different places: two
+    /// lengths, a length beside a transfer coding, or a coding but chunked.
+    /// Passed on, such a message could smuggle a second one.
+    pub(super) fn of(headers: &[httparse::Header<'h>]) -> Result<Self, h1::Error> {
+        let mut framing = Self::default();
+        for header in headers {
+            if header.name.eq_ignore_ascii_case("content-length") {
+                framing.add_length(header.value)?;
+            } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+                framing.add_coding(header.value)?;
+            } else if header.name.eq_ignore_ascii_case("connection") {
+                framing.add_connection(header.value)?;
+            }
+        }
+        if framing.chunked && framing.length.is_some() {
+            return Err(h1::Error::Malformed("a length beside a transfer coding"));
+        }
+        Ok(framing)
+    }
+
+    /// Whether a header may be passed on to the other side.
+    pub(super) fn passes(&self, name: &str) -> bool {
+        let same = |other: &&str| name.eq_ignore_ascii_case(other);
+        !HOP_BY_HOP.iter().any(same)
+            && !name.eq_ignore_ascii_case("content-length")
+            && !self.named.iter().any(same)
+    }
+
+    fn add_length(&mut self, value: &[u8]) -> Result<(), h1::Error> {
+        let digits = text(value)?.trim();
+        let all_digits = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit());
+        let length = digits.parse().ok().filter(|_| all_digits);
+        let length = length.ok_or(h1::Error::Malformed("content length"))?;
+        if self.length.is_some_and(|before| before != length) {
+            return Err(h1::Error::Malformed("two content lengths"));
+        }
+        self.length = Some(length);
+        Ok(())
+    }
+
+    fn add_coding(&mut self, value: &[u8]) -> Result<(), h1::Error> {
+        if self.chunked || !text(value)?.trim().eq_ignore_ascii_case("chunked") {
+            return Err(h1::Error::Coding);
+        }
+        self.chunked = true;
+        Ok(())
+    }
+
+    fn add_connection(&mut self, value: &'h [u8]) -> Result<(), h1::Error> {
+        for token in text(value)?.split(',').map(str::trim) {
+            if token.eq_ignore_ascii_case("close") {
+                self.close = true;
+            } else if token.eq_ignore_ascii_case("keep-alive") {
+                self.keep_alive = true;
+            } else if !token.is_empty() {
+                self.named.push(token);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A header's value as text.
+///
+/// # Errors
+/// Where it isn't UTF-8.
+pub(super) fn text(value: &[u8]) -> Result<&str, h1::Error> {
+    str::from_utf8(value).map_err(|_| h1::Error::Malformed("header value"))
+}
+
+/// Adds a header line.
+pub(super) fn line(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/h1/reply.rs
@@ -0,0 +1,181 @@
+//! Upstreams' replies, and those of the platform's store.
+
+use std::time;
+
+use tokio_util::codec;
+
+use crate::h1;
+use crate::h1::head;
+use crate::rate;
+
+/// A reply, whole.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Its status.
+    pub status: u16,
+    /// The request id that it echoes.
+    pub id: Option<String>,
+    /// The upstream's signature.
+    pub signature: Option<String>,
+    /// Whether the upstream states that it didn't run the call.
+    pub not_run: bool,
+    /// Headers that may be passed on, each with its line end.
+    pub headers: Vec<u8>,
+    /// The body.
+    pub body: bytes::Bytes,
+    /// Whether the body is coded, which no caller asked for.
+    pub coded: bool,
+    /// Whether the connection ends after it.
+    pub close: bool,
+    /// How long the upstream keeps the connection while it is idle.
+    pub keep_alive: Option<time::Duration>,
+}
+
+/// Reads replies off a connection that carries one call at a time.
+#[derive(Debug)]
+pub struct ReplyCodec {
+    names: h1::Names,
+    limit: rate::Bytes,
+    /// The call's method was HEAD: its reply has no body.
+    head_only: bool,
+    reading: Option<(Reply, h1::Body)>,
+}
+
+impl ReplyCodec {
+    /// A codec for replies of at most `limit`.
+    pub fn new(names: h1::Names, limit: rate::Bytes) -> Self {
+        Self {
+            names,
+            limit,
+            head_only: false,
+            reading: None,
+        }
+    }
+
+    /// Says what the next reply answers.
+    pub fn expect(&mut self, head_only: bool) {
+        self.head_only = head_only;
+    }
+
+    fn read_head(
+        &self,
+        source: &mut bytes::BytesMut,
+    ) -> Result<Option<(Reply, h1::Body)>, h1::Error> {
+        let mut headers = [httparse::EMPTY_HEADER; h1::MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let used = match parsed.parse(source) {
+            Ok(httparse::Status::Complete(used)) => used,
+            Ok(httparse::Status::Partial) if (source.len() as u64) < self.limit.0 => {
+                return Ok(None);
+            }
+            _ => return Err(h1::Error::Malformed("reply head")),
+        };
+        let framing = head::Framing::of(parsed.headers)?;
+        let mut reply = Reply {
+            status: parsed.code.unwrap_or_default(),
+            id: None,
+            signature: None,
+            not_run: false,
+            headers: Vec::new(),
+            body: bytes::Bytes::new(),
+            coded: false,
+            close: framing.close || (parsed.version == Some(0) && !framing.keep_alive),
+            keep_alive: None,
+        };
+        for header in parsed.headers.iter() {
+            self.header(&mut reply, header, &framing)?;
+        }
+        let body = self.body(&mut reply, &framing)?;
+        bytes::Buf::advance(source, used);
+        Ok(Some((reply, body)))
+    }
+
+    fn header(
+        &self,
+        reply: &mut Reply,
+        header: &httparse::Header<'_>,
+        framing: &head::Framing<'_>,
+    ) -> Result<(), h1::Error> {
+        let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+        if is(self.names.request_id) {
+            reply.id = Some(head::text(header.value)?.to_owned());
+        } else if is(self.names.signature) {
+            reply.signature = Some(head::text(header.value)?.to_owned());
+        } else if is(self.names.not_run) {
+            reply.not_run = true;
+        } else if is("content-encoding") {
+            reply.coded = !header.value.eq_ignore_ascii_case(b"identity");
+        } else if is("keep-alive") {
+            reply.keep_alive = timeout(head::text(header.value)?);
+        }
+        if framing.passes(header.name) {
+            head::line(&mut reply.headers, header.name, header.value);
+        }
+        Ok(())
+    }
+
+    fn body(
+        &self,
+        reply: &mut Reply,
+        framing: &head::Framing<'_>,
+    ) -> Result<h1::Body, h1::Error> {
+        let none = self.head_only || reply.status < 200 || matches!(reply.status, 204 | 304);
+        if none {
+            return h1::Body::sized(0, self.limit);
+        }
+        if framing.chunked {
+            return Ok(h1::Body::chunked(self.limit));
+        }
+        if let Some(length) = framing.length {
+            return h1::Body::sized(length, self.limit);
+        }
+        reply.close = true;
+        Ok(h1::Body::until_close(self.limit))
+    }
+}
+
+/// The `timeout` of a `Keep-Alive` header.
+fn timeout(value: &str) -> Option<time::Duration> {
+    let seconds = value
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.parse().ok());
+    seconds.map(time::Duration::from_secs)
+}
+
+impl codec::Decoder for ReplyCodec {
+    type Item = Reply;
+    type Error = h1::Error;
+
+    fn decode(&mut self, source: &mut bytes::BytesMut) -> Result<Option<Reply>, h1::Error> {
+        loop {
+            if self.reading.is_none() {
+                self.reading = self.read_head(source)?;
+            }
+            let Some((_, body)) = self.reading.as_mut() else {
+                return Ok(None);
+            };
+            let Some(body) = body.read(source)? else {
+                return Ok(None);
+            };
+            let whole = self.reading.take().map(|(reply, _)| Reply { body, ..reply });
+            // Interim replies announce the one that counts.
+            if whole.as_ref().is_some_and(|reply| reply.status >= 200) {
+                return Ok(whole);
+            }
+        }
+    }
+
+    fn decode_eof(&mut self, source: &mut bytes::BytesMut) -> Result<Option<Reply>, h1::Error> {
+        if let Some(reply) = self.decode(source)? {
+            return Ok(Some(reply));
+        }
+        let Some((reply, body)) = self.reading.take() else {
+            return Ok(None);
+        };
+        let Some(body) = body.close() else {
+            return Err(h1::Error::Malformed("reply broke off"));
+        };
+        Ok(Some(Reply { body, ..reply }))
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/h1/request.rs
@@ -0,0 +1,191 @@
+//! Callers' requests.
+
+use std::time;
+
+use tokio_util::codec;
+
+use crate::h1;
+use crate::h1::head;
+use crate::rate;
+
+/// A caller's request, whole.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The method.
+    pub method: String,
+    /// Path and query as they came.
+    pub path: String,
+    /// The host that the caller names; empty where it names none.
+    pub host: String,
+    /// The caller's id of this request, as it came.
+    pub id: String,
+    /// How long the caller waits, where it says so.
+    pub time_left: Option<time::Duration>,
+    /// Request line and the headers that may be passed on, each with its line
+    /// end; without the empty line.
+    pub head: Vec<u8>,
+    /// The body.
+    pub body: bytes::Bytes,
+    /// Whether the caller stated a body, be it empty.
+    pub has_body: bool,
+    /// Whether the connection ends after the answer.
+    pub close: bool,
+}
+
+/// Reads requests off a caller's connection.
+#[derive(Debug)]
+pub struct RequestCodec {
+    names: h1::Names,
+    head_limit: rate::Bytes,
+    body_limit: rate::Bytes,
+    reading: Option<Reading>,
+}
+
+#[derive(Debug)]
+struct Reading {
+    request: Request,
+    body: h1::Body,
+    /// The caller waits for a word before it sends its body.
+    expects: bool,
+}
+
+impl RequestCodec {
+    /// A codec with the given limits.
+    pub fn new(names: h1::Names, head_limit: rate::Bytes, body_limit: rate::Bytes) -> Self {
+        Self {
+            names,
+            head_limit,
+            body_limit,
+            reading: None,
+        }
+    }
+
+    /// Sets the limits for heads that aren't read yet.
+    pub fn limit(&mut self, head: rate::Bytes, body: rate::Bytes) {
+        self.head_limit = head;
+        self.body_limit = body;
+    }
+
+    /// Whether a head was read whose body isn't complete.
+    pub fn in_body(&self) -> bool {
+        self.reading.is_some()
+    }
+
+    /// Whether the caller waits for `100 Continue`; told once a request.
+    pub fn expects_continue(&mut self) -> bool {
+        let reading = self.reading.as_mut();
+        reading.is_some_and(|reading| std::mem::take(&mut reading.expects))
+    }
+
+    fn read_head(&self, source: &mut bytes::BytesMut) -> Result<Option<Reading>, h1::Error> {
+        let mut headers = [httparse::EMPTY_HEADER; h1::MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut headers);
+        let used = match parsed.parse(source) {
+            Ok(httparse::Status::Complete(used)) => used,
+            Ok(httparse::Status::Partial) if source.len() as u64 <= self.head_limit.0 => {
+                return Ok(None);
+            }
+            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+                return Err(h1::Error::HeadTooLarge(self.head_limit));
+            }
+            Err(_) => return Err(h1::Error::Malformed("request head")),
+        };
+        if used as u64 > self.head_limit.0 {
+            return Err(h1::Error::HeadTooLarge(self.head_limit));
+        }
+        let reading = self.take(&parsed)?;
+        bytes::Buf::advance(source, used);
+        Ok(Some(reading))
+    }
+
+    fn take(&self, parsed: &httparse::Request<'_, '_>) -> Result<Reading, h1::Error> {
+        let framing = head::Framing::of(parsed.headers)?;
+        let method = parsed.method.unwrap_or_default();
+        let path = parsed.path.unwrap_or_default();
+        let mut request = Request {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            host: String::new(),
+            id: String::new(),
+            time_left: None,
+            head: Vec::with_capacity(256),
+            body: bytes::Bytes::new(),
+            has_body: framing.chunked || framing.length.is_some(),
+            close: framing.close || (parsed.version == Some(0) && !framing.keep_alive),
+        };
+        request.head.extend_from_slice(method.as_bytes());
+        request.head.push(b' ');
+        request.head.extend_from_slice(path.as_bytes());
+        request.head.extend_from_slice(b" HTTP/1.1\r\n");
+        let mut expects = false;
+        for header in parsed.headers.iter() {
+            expects |= self.header(&mut request, header, &framing)?;
+        }
+        let body = match framing.length {
+            Some(length) => h1::Body::sized(length, self.body_limit)?,
+            None if framing.chunked => h1::Body::chunked(self.body_limit),
+            None => h1::Body::sized(0, self.body_limit)?,
+        };
+        Ok(Reading {
+            request,
+            body,
+            expects,
+        })
+    }
+
+    /// Takes one header; true where the caller waits before it sends its body.
+    fn header(
+        &self,
+        request: &mut Request,
+        header: &httparse::Header<'_>,
+        framing: &head::Framing<'_>,
+    ) -> Result<bool, h1::Error> {
+        let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+        if is("expect") {
+            return Ok(header.value.eq_ignore_ascii_case(b"100-continue"));
+        }
+        if is(self.names.time_left) {
+            let millis = head::text(header.value)?.trim().parse().ok();
+            request.time_left = millis.map(time::Duration::from_millis);
+            return Ok(false);
+        }
+        if is(self.names.only_upstream) || !framing.passes(header.name) {
+            return Ok(false);
+        }
+        if is("host") {
+            if !request.host.is_empty() {
+                return Err(h1::Error::Malformed("two hosts"));
+            }
+            request.host = head::text(header.value)?.trim().to_owned();
+        } else if is(self.names.request_id) {
+            if !request.id.is_empty() {
+                return Err(h1::Error::Malformed("two request ids"));
+            }
+            request.id = head::text(header.value)?.to_owned();
+        }
+        head::line(&mut request.head, header.name, header.value);
+        Ok(false)
+    }
+}
+
+impl codec::Decoder for RequestCodec {
+    type Item = Request;
+    type Error = h1::Error;
+
+    fn decode(&mut self, source: &mut bytes::BytesMut) -> Result<Option<Request>, h1::Error> {
+        if self.reading.is_none() {
+            self.reading = self.read_head(source)?;
+        }
+        let Some(reading) = self.reading.as_mut() else {
+            return Ok(None);
+        };
+        let Some(body) = reading.body.read(source)? else {
+            return Ok(None);
+        };
+        let whole = self.reading.take().map(|reading| Request {
+            body,
+            ..reading.request
+        });
+        Ok(whole)
+    }
+}
--- /dev/null
+++ b/crates/geraniumgauge/src/h1/tests.rs
@@ -0,0 +1,119 @@
+use tokio_util::codec::Decoder as _;
+
+use super::*;
+
+const NAMES: Names = Names {
+    request_id: "request-id",
+    time_left: "time-left",
+    only_upstream: "only-upstream",
+    signature: "signature",
+    signatures: "signatures",
+    missing: "missing",
+    not_run: "not-run",
+};
+
+fn requests() -> RequestCodec {
+    RequestCodec::new(NAMES, rate::Bytes(1024), rate::Bytes(64))
+}
+
+fn one(text: &str) -> Result<Option<Request>, Error> {
+    requests().decode(&mut bytes::BytesMut::from(text))
+}
+
+#[test]
+fn a_request_keeps_what_may_be_passed_on() {
+    let text = "POST /a?b HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r1\r\nTime-Left: 250\r\n\
+        Connection: close, X-Hop\r\nX-Hop: 1\r\nOnly-Upstream: forged\r\nX-Other: 2\r\n\
+        Content-Length: 3\r\n\r\nabc";
+    let request = one(text).expect("well formed").expect("whole");
+    assert_eq!(request.body.as_ref(), b"abc");
+    assert_eq!((request.host.as_str(), request.id.as_str()), ("one.example", "r1"));
+    assert_eq!(request.time_left, Some(std::time::Duration::from_millis(250)));
+    assert!(request.close);
+    let head = String::from_utf8(request.head).expect("text");
+    let due = "POST /a?b HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r1\r\nX-Other: 2\r\n";
+    assert_eq!(head, due);
+}
+
+/// Story: a caller hides a second request behind a body whose end two readers
+/// see at different places. The upstream would run a request nobody sent.
+#[test]
+fn requests_that_could_smuggle_another_are_refused() {
+    for framing in [
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length : 3\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        let text = format!("POST / HTTP/1.1\r\nHost: a\r\n{framing}\r\nabcd");
+        assert!(one(&text).is_err(), "{framing}");
+    }
+}
+
+#[test]
+fn heads_and_bodies_over_the_limits_are_refused() {
+    let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(2000));
+    assert!(matches!(one(&long), Err(Error::HeadTooLarge(_))));
+    let body = "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n";
+    assert!(matches!(one(body), Err(Error::BodyTooLarge(_))));
+    let chunk = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n{}", "x".repeat(65));
+    assert!(matches!(one(&chunk), Err(Error::BodyTooLarge(_))));
+    let broken = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
+    assert!(matches!(one(broken), Err(Error::Malformed(_))));
+}
+
+/// What comes of `text` when it arrives in pieces of `step` bytes.
+fn pieces(text: &[u8], step: usize) -> Vec<Reply> {
+    let mut codec = ReplyCodec::new(NAMES, rate::Bytes(1 << 16));
+    let mut buffer = bytes::BytesMut::new();
+    let mut replies = Vec::new();
+    for piece in text.chunks(step.max(1)) {
+        buffer.extend_from_slice(piece);
+        while let Some(reply) = codec.decode(&mut buffer).expect("well formed") {
+            replies.push(reply);
+        }
+    }
+    replies.extend(codec.decode_eof(&mut buffer).expect("well formed"));
+    replies
+}
+
+quickcheck::quickcheck! {
+    fn replies_are_the_same_in_any_pieces(bodies: Vec<(Vec<u8>, bool)>, step: u8) -> bool {
+        let mut text = Vec::new();
+        for (number, (body, chunked)) in bodies.iter().enumerate() {
+            text.extend_from_slice(format!("HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\n").as_bytes());
+            if *chunked {
+                text.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
+                for chunk in body.chunks(3) {
+                    text.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+                    text.extend_from_slice(chunk);
+                    text.extend_from_slice(b"\r\n");
+                }
+                text.extend_from_slice(b"0\r\n\r\n");
+            } else {
+                text.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+                text.extend_from_slice(body);
+            }
+        }
+        let replies = pieces(&text, usize::from(step));
+        replies.len() == bodies.len()
+            && replies.iter().zip(&bodies).enumerate().all(|(number, (reply, (body, _)))| {
+                reply.body == body.as_slice() && reply.id == Some(number.to_string())
+            })
+    }
+}
+
+/// Story: a reply without a length breaks off. Where the connection is reset
+/// it isn't complete; only a proper end completes it, and one with a length
+/// that ends too soon never does.
+#[test]
+fn a_reply_that_breaks_off_is_never_complete() {
+    let open = pieces(b"HTTP/1.1 200 OK\r\n\r\nab", 4);
+    assert_eq!(open[0].body.as_ref(), b"ab");
+    assert!(open[0].close);
+    let mut codec = ReplyCodec::new(NAMES, rate::Bytes(1 << 16));
+    let mut buffer = bytes::BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab");
+    assert!(codec.decode_eof(&mut buffer).is_err());
+}
--- a/crates/geraniumgauge/src/jsonc/mod.rs
+++ b/crates/geraniumgauge/src/jsonc/mod.rs
@@ -12,7 +12,9 @@
 pub use field::Kind;
 pub use field::help;
 pub use read::Reading;
+pub use read::Unknown;
 pub use read::read;
+pub use read::read_with;
 pub use read::split;
 
 #[cfg(test)]
--- a/crates/geraniumgauge/src/jsonc/read.rs
+++ b/crates/geraniumgauge/src/jsonc/read.rs
@@ -47,6 +47,15 @@
     (problem.to_owned(), remedy.to_owned())
 }
 
+/// What a key that no field names means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unknown {
+    /// A slip of the pen: a finding.
+    Finding,
+    /// A field of a later version of the format, which isn't ours to judge.
+    Ignored,
+}
+
 /// Reads `text` into `values`, which hold the defaults before. `file` names the
 /// text in the findings.
 pub fn read<T>(
@@ -54,6 +63,17 @@
     text: &str,
     fields: &[jsonc::Field<T>],
     values: &mut T,
+) -> jsonc::Reading {
+    read_with(file, text, fields, values, Unknown::Finding)
+}
+
+/// As [`read`], with a choice of what unknown keys mean.
+pub fn read_with<T>(
+    file: &str,
+    text: &str,
+    fields: &[jsonc::Field<T>],
+    values: &mut T,
+    unknown: Unknown,
 ) -> jsonc::Reading {
     let root = finding::Place::of(file, text, 0);
     let reading = Reading {
@@ -67,6 +87,7 @@
         fields,
         values,
         reading,
+        unknown,
     };
     reader.text();
     reader.missing();
@@ -79,6 +100,7 @@
     fields: &'t [jsonc::Field<T>],
     values: &'t mut T,
     reading: Reading,
+    unknown: Unknown,
 }
 
 /// Comments and trailing commas are allowed; other liberties would let a slip
@@ -162,6 +184,9 @@
                 other => self.wrong(other, path, "an object in { }"),
             };
         }
+        if self.unknown == Unknown::Ignored {
+            return;
+        }
         let remedy = self.nearest(path, prefix);
         self.find(at, path, "unknown key", remedy);
     }
--- a/crates/geraniumgauge/src/lib.rs
+++ b/crates/geraniumgauge/src/lib.rs
@@ -8,20 +8,27 @@
 //! quickcheck with seeds and in the daemon.
 
 pub mod document;
+pub mod edge;
 pub mod finding;
+pub mod follow;
+pub mod forward;
+pub mod h1;
 pub mod home;
 pub mod http;
 pub mod ids;
 pub mod jsonc;
 pub mod layout;
 pub mod ledger;
+pub mod logs;
 pub mod member;
 pub mod mesh;
 pub mod metrics;
 pub mod quarantine;
 pub mod query;
 pub mod rate;
+pub mod registry;
 pub mod rendezvous;
+pub mod route;
 #[cfg(test)]
 mod seeds;
 pub mod slo;
--- /dev/null
+++ b/crates/geraniumgauge/src/registry/tests.rs
@@ -0,0 +1,118 @@
+use super::*;
+
+fn entry(id: u8, born: u64, state: State) -> Entry {
+    Entry {
+        id: format!("u{id}").parse().expect("an id"),
+        service: format!("s{}", id % 2).parse().expect("a name"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 9000 + u16::from(id))),
+        data_centre: "dc".parse().expect("a name"),
+        slots: 2,
+        state,
+        warm_up: time::Duration::ZERO,
+        born: clock::Wall(born),
+    }
+}
+
+fn at(millis: u64) -> clock::Moment {
+    clock::Moment::from_millis(millis)
+}
+
+/// Story: the store is away for some seconds and the registrations lapse. On
+/// its return the list is empty. Requests must go on to the upstreams, which
+/// live; those that aren't back two seconds later get none.
+#[test]
+fn lapsed_entries_are_a_last_resort_until_they_are_gone() {
+    let mut registry = Registry::default();
+    registry.put(entry(0, 1, State::Ready), at(0));
+    registry.put(entry(2, 1, State::Ready), at(0));
+    registry.list(Vec::new(), at(1000));
+    let handles = registry.of(&"s0".parse().expect("a name")).to_vec();
+    for handle in &handles {
+        assert_eq!(registry.get(*handle).usable(at(2500)), Use::LastResort);
+    }
+    let back = registry.put(entry(0, 1, State::Ready), at(2600));
+    assert_eq!(back, vec![Change::Returned(handles[0])]);
+    assert_eq!(registry.get(handles[0]).usable(at(9000)), Use::Full);
+    assert_eq!(registry.get(handles[1]).usable(at(3000)), Use::Never);
+    assert_eq!(registry.expire(at(3000)), vec![Change::Gone(handles[1])]);
+}
+
+/// Story: an upstream drains and its entry goes; a client of ours that kept it
+/// as a last resort would send to it, or to whoever has its address by now.
+#[test]
+fn a_drained_upstream_is_gone_with_its_entry() {
+    let mut registry = Registry::default();
+    registry.put(entry(0, 1, State::Ready), at(0));
+    let changes = registry.put(entry(0, 1, State::Draining), at(10));
+    assert_eq!(changes, vec![Change::Draining(Handle(0))]);
+    assert_eq!(registry.get(Handle(0)).usable(at(10)), Use::Never);
+    let change = registry.remove(&"u0".parse().expect("an id"), at(20));
+    assert_eq!(change, Some(Change::Gone(Handle(0))));
+    assert!(registry.is_empty());
+}
+
+/// Story: an upstream crashes and starts again under its id before its entry
+/// lapses. Its old connections and figures belong to a process that is gone.
+#[test]
+fn a_later_start_of_the_same_id_is_another_upstream() {
+    let mut registry = Registry::default();
+    registry.put(entry(0, 1, State::Ready), at(0));
+    let changes = registry.put(entry(0, 2, State::Ready), at(10));
+    assert_eq!(changes, vec![Change::Gone(Handle(0)), Change::Came(Handle(1))]);
+    assert_eq!(registry.get(Handle(0)).usable(at(10)), Use::Never);
+    let service = "s0".parse().expect("a name");
+    assert_eq!(registry.of(&service), &[Handle(1)]);
+}
+
+quickcheck::quickcheck! {
+    /// Whatever comes in whatever order: each service lists just the live
+    /// entries, one a name, and an entry that drains or went is never used.
+    fn lists_match_a_plain_map(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut registry = Registry::default();
+        let mut model: collections::BTreeMap<u8, (u64, State)> = Default::default();
+        let mut now = at(0);
+        for (kind, id, born) in steps {
+            let (id, born) = (id % 5, u64::from(born % 3));
+            now = now + LINGER;
+            registry.expire(now);
+            match kind % 3 {
+                0 => {
+                    registry.put(entry(id, born, State::Ready), now);
+                    model.insert(id, (born, State::Ready));
+                }
+                1 => {
+                    registry.put(entry(id, born, State::Draining), now);
+                    model.insert(id, (born, State::Draining));
+                }
+                _ => {
+                    registry.remove(&format!("u{id}").parse().expect("an id"), now);
+                    model.remove(&id);
+                    now = now + LINGER;
+                    registry.expire(now);
+                }
+            }
+            for service in 0..2_u8 {
+                let name = format!("s{service}").parse().expect("a name");
+                let mut seen: Vec<(String, u64, bool)> = registry
+                    .of(&name)
+                    .iter()
+                    .map(|handle| registry.get(*handle))
+                    .map(|known| {
+                        let used = known.usable(now) == Use::Full;
+                        (known.entry.id.to_string(), known.entry.born.0, used)
+                    })
+                    .collect();
+                seen.sort();
+                let due: Vec<(String, u64, bool)> = model
+                    .iter()
+                    .filter(|(id, _)| *id % 2 == service)
+                    .map(|(id, (born, state))| (format!("u{id}"), *born, *state == State::Ready))
+                    .collect();
+                if seen != due {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
