--- a/crates/geraniumgauge/src/follow/mod.rs
+++ b/crates/geraniumgauge/src/follow/mod.rs
@@ -1,12 +1,19 @@
-//! Follows what the platform's store holds: a list first, then its changes.
+//! Follows what the platform's store holds.
 //!
-//! A store that can't be reached is no news: what was read stays as it was.
+//! [`poll`] lists one kind again and again by linearizable reads, and so learns
+//! the store's revision. [`follow`] lists another kind once and then watches
+//! it by reads that may lag; where the store turns out to be further than the
+//! watch tells, it lists again. A watch alone can miss changes without a sign:
+//! the store may drop it silently, or answer it from a stale copy. A store that
+//! can't be reached is no news: what was read stays as it was.
 
 mod peers;
+mod poll;
 mod watch;
 
 pub use peers::Peers;
 pub use peers::Roster;
+pub use poll::poll;
 pub use watch::Pace;
 pub use watch::follow;
 
@@ -58,14 +65,14 @@
     /// An object of the kind.
     type Item;
 
-    /// Everything there is.
+    /// Everything there is, by linearizable reads.
     ///
     /// # Errors
     /// Where the store doesn't tell.
     async fn list(&mut self) -> Result<Snapshot<Self::Item>, Error>;
 
-    /// What changed after `revision`; waits for a change, but not for ever.
-    /// The revision that the changes lead to.
+    /// What changed after `revision`; waits for a change, but not for ever. May
+    /// lag. The revision that the changes lead to.
     ///
     /// # Errors
     /// Where the store doesn't tell.
