One VM looks at the store for all; the others check by a digest

Ruled out: watches alone (they miss changes without a sign). Now a look is told to the others as a datagram (revision, configuration, digest of registrations); ranks decide who looks next when it stays out. Lists read a copy first.

--- a/crates/geraniumgauge/src/follow/mod.rs
+++ b/crates/geraniumgauge/src/follow/mod.rs
@@ -1,30 +1,63 @@
-//! Follows what the platform's store holds.
+//! Follows what the platform's store holds, with few calls.
 //!
-//! [`poll`] lists one kind again and again by linearizable reads, and so learns
-//! the store's revision. [`follow`] lists another kind once and then watches
-//! it by reads that may lag; where the store turns out to be further than the
-//! watch tells, it lists again. A watch alone can miss changes without a sign:
-//! the store may drop it silently, or answer it from a stale copy. A store that
-//! can't be reached is no news: what was read stays as it was.
+//! One VM at a time looks at the store by linearizable reads ([`Lookout`]) and
+//! tells the others what it saw as a [`Sighting`]: how far the store is, which
+//! configuration it holds, and a digest of the registrations. A VM that has the
+//! same needs no call of its own; one that hasn't heard a sighting for a while
+//! looks for itself. Registrations come by a watch of a copy that may lag
+//! ([`Follower`]); a sighting whose digest differs shows that it missed some.
+//! A watch alone can miss changes without a sign: the store may drop it
+//! silently, or answer it from a stale copy. A store that can't be reached is
+//! no news: what was read stays as it was.
 
+mod beacon;
+mod held;
+mod lookout;
 mod peers;
-mod poll;
 mod watch;
 
+pub use beacon::Beacon;
+pub use held::Digest;
+pub use held::Held;
+pub use held::Shared;
+pub use lookout::Hear;
+pub use lookout::Lookout;
+pub use lookout::Sighting;
+pub use peers::Peer;
 pub use peers::Peers;
 pub use peers::Roster;
-pub use poll::poll;
+pub use peers::View;
+pub use watch::Follower;
 pub use watch::Pace;
-pub use watch::follow;
 
 use crate::ids;
 
+/// How fresh a read must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Read {
+    /// All that the store has acknowledged.
+    Linearizable,
+    /// From a copy that may lag by seconds; costs a tenth.
+    Copy,
+}
+
+/// An object as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item<T> {
+    /// Its name, unique in its kind.
+    pub name: String,
+    /// The revision of its last change.
+    pub revision: ids::Revision,
+    /// What it says; `None` where it can't be used.
+    pub value: Option<T>,
+}
+
 /// Objects of one kind at one revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Snapshot<T> {
-    /// Every object that could be read.
-    pub items: Vec<T>,
-    /// The revision that this shows.
+    /// Every object.
+    pub items: Vec<Item<T>>,
+    /// The store's revision that this shows.
     pub revision: ids::Revision,
 }
 
@@ -32,8 +65,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change<T> {
     /// It was written.
-    Put(T),
-    /// It was deleted, or what was written can't be used.
+    Put(Item<T>),
+    /// It was deleted.
     Gone(String),
 }
 
@@ -41,7 +74,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum News<T> {
     /// Everything there is.
-    All(Vec<T>),
+    All(Vec<Item<T>>),
     /// What changed.
     Changes(Vec<Change<T>>),
 }
@@ -62,14 +95,14 @@
 /// Objects of one kind in the store. Each call is bounded in time.
 #[expect(async_fn_in_trait, reason = "followers run on one thread")]
 pub trait Source {
-    /// An object of the kind.
-    type Item;
+    /// What an object of the kind says.
+    type Value;
 
-    /// Everything there is, by linearizable reads.
+    /// Everything there is.
     ///
     /// # Errors
     /// Where the store doesn't tell.
-    async fn list(&mut self) -> Result<Snapshot<Self::Item>, Error>;
+    async fn list(&mut self, read: Read) -> Result<Snapshot<Self::Value>, Error>;
 
     /// What changed after `revision`; waits for a change, but not for ever. May
     /// lag. The revision that the changes lead to.
@@ -79,7 +112,7 @@
     async fn watch(
         &mut self,
         revision: ids::Revision,
-    ) -> Result<(Vec<Change<Self::Item>>, ids::Revision), Error>;
+    ) -> Result<(Vec<Change<Self::Value>>, ids::Revision), Error>;
 }
 
 #[cfg(test)]
--- a/crates/geraniumgauge/src/follow/peers.rs
+++ b/crates/geraniumgauge/src/follow/peers.rs
@@ -1,23 +1,38 @@
-//! Counts the VMs that may be alive, by objects that each refreshes.
+//! The VMs that may be alive, by objects that each refreshes in the store.
 
 use std::collections;
+use std::net;
 use std::time;
 
 use crate::follow;
 use crate::ids;
+use crate::rendezvous;
 use crate::time as clock;
 use crate::timer;
 
-/// How often a VM refreshes its object. Budgets only need the order of size of
-/// the fleet, and need it never to be too small.
-const REFRESH: time::Duration = time::Duration::from_secs(20);
-/// How often the objects are listed until their number has settled, and then.
-const LIST_FIRST: time::Duration = time::Duration::from_secs(1);
-const LIST: time::Duration = time::Duration::from_secs(5);
-/// Lists at the first pace.
-const FIRST_LISTS: u32 = 5;
+/// How often a VM refreshes its object. Budgets and ranks only need the order
+/// of size of the fleet, and need it never to be too small.
+const REFRESH: time::Duration = time::Duration::from_secs(60);
+/// Pause between the first two lists; it doubles up to [`LIST`], so that VMs
+/// that start together soon know each other.
+const LIST_FIRST: time::Duration = time::Duration::from_millis(700);
+/// Longest pause between lists.
+const LIST: time::Duration = time::Duration::from_secs(10);
 /// How long an object may stay unchanged before its VM no longer counts.
-const EXPIRE: time::Duration = time::Duration::from_secs(70);
+const EXPIRE: time::Duration = time::Duration::from_secs(200);
+/// The duty by which VMs are ranked.
+const DUTY: &str = "lookout";
+
+/// A VM as its object in the store tells it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub vm: ids::Vm,
+    /// Where it takes messages of other VMs.
+    pub address: net::SocketAddr,
+    /// Its object's revision.
+    pub revision: ids::Revision,
+}
 
 /// The VMs' objects in the store.
 #[expect(async_fn_in_trait, reason = "followers run on one thread")]
@@ -28,43 +43,84 @@
     /// Where the store doesn't take it.
     async fn announce(&mut self) -> Result<(), follow::Error>;
 
-    /// Every VM's name with the revision of its object. May lag.
+    /// Every VM. May lag.
     ///
     /// # Errors
     /// Where the store doesn't tell.
-    async fn list(&mut self) -> Result<Vec<(ids::Vm, ids::Revision)>, follow::Error>;
+    async fn list(&mut self) -> Result<Vec<Peer>, follow::Error>;
 }
 
 /// What this VM has seen of the others' objects.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
-    seen: collections::BTreeMap<ids::Vm, (ids::Revision, clock::Moment)>,
+    own: ids::Vm,
+    seen: collections::BTreeMap<ids::Vm, Seen>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    address: net::SocketAddr,
+    revision: ids::Revision,
+    since: clock::Moment,
+}
+
+/// The VMs that may be alive.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct View {
+    /// How many there are, this one included.
+    pub vms: usize,
+    /// This VM's place among them.
+    pub rank: u32,
+    /// Where the others take messages.
+    pub others: Vec<net::SocketAddr>,
 }
 
 impl Peers {
-    /// Takes a list; how many VMs may be alive.
-    pub fn count(&mut self, listed: Vec<(ids::Vm, ids::Revision)>, now: clock::Moment) -> usize {
+    /// Knows of no VM but `own`.
+    pub fn new(own: ids::Vm) -> Self {
+        Self {
+            own,
+            seen: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes a list; who may be alive.
+    pub fn view(&mut self, listed: Vec<Peer>, now: clock::Moment) -> View {
         let before = std::mem::take(&mut self.seen);
-        for (vm, revision) in listed {
-            let known = before.get(&vm).filter(|(known, _)| *known == revision);
-            let since = known.map_or(now, |(_, since)| *since);
-            self.seen.insert(vm, (revision, since));
+        for peer in listed {
+            let known = before.get(&peer.vm);
+            let known = known.filter(|known| known.revision == peer.revision);
+            let seen = Seen {
+                address: peer.address,
+                revision: peer.revision,
+                since: known.map_or(now, |known| known.since),
+            };
+            self.seen.insert(peer.vm, seen);
+        }
+        let fresh = |seen: &Seen| now.since(seen.since) < EXPIRE;
+        let alive: collections::BTreeMap<&ids::Vm, &Seen> =
+            self.seen.iter().filter(|(_, seen)| fresh(seen)).collect();
+        let own = rendezvous::weight(DUTY, &self.own);
+        let before_own = alive.keys().filter(|vm| rendezvous::weight(DUTY, vm) > own);
+        let others = alive.iter().filter(|(vm, _)| **vm != &self.own);
+        View {
+            vms: alive.len().max(1),
+            rank: u32::try_from(before_own.count()).unwrap_or(u32::MAX),
+            others: others.map(|(_, seen)| seen.address).collect(),
         }
-        let alive = self.seen.values();
-        alive.filter(|(_, since)| now.since(*since) < EXPIRE).count()
     }
 
-    /// Keeps this VM's object fresh and tells `hear` how many VMs there are,
-    /// until `timer` stops.
+    /// Keeps this VM's object fresh and tells `hear` who may be alive, until
+    /// `timer` stops.
     pub async fn run<R: Roster>(
         mut self,
         mut roster: R,
         clock: clock::Clock,
         timer: timer::Service,
-        hear: impl Fn(usize),
+        mut hear: impl FnMut(View),
     ) {
         let mut announced: Option<clock::Moment> = None;
-        let mut lists = 0;
+        let mut pause = LIST_FIRST;
         loop {
             let now = clock.now();
             if announced.is_none_or(|at| now.since(at) >= REFRESH) {
@@ -75,12 +131,11 @@
             }
             match roster.list().await {
                 Ok(listed) => {
-                    lists += 1;
-                    hear(self.count(listed, clock.now()));
+                    hear(self.view(listed, clock.now()));
+                    pause = (pause * 2).min(LIST);
                 }
                 Err(error) => log::info!(error:% = error; "VMs not listed"),
             }
-            let pause = if lists < FIRST_LISTS { LIST_FIRST } else { LIST };
             if !timer.pause(pause).await {
                 return;
             }
--- a/crates/geraniumgauge/src/follow/watch.rs
+++ b/crates/geraniumgauge/src/follow/watch.rs
@@ -1,18 +1,15 @@
-//! The loop of one follower.
+//! Follows one kind by a watch.
 
 use std::time;
 
 use tokio::sync::watch;
 
 use crate::follow;
-use crate::ids;
 use crate::timer;
 
-/// How long a watch may stay behind the store's revision before the kind is
-/// listed. Changes of other kinds move the revision too, so a watch that is
-/// behind has mostly missed nothing; still, a list costs less than a request
-/// to an upstream that has left.
-const BEHIND: time::Duration = time::Duration::from_millis(300);
+/// How long a watch may lack what a sighting showed before the kind is listed.
+/// Watches mostly tell a change within milliseconds.
+const BEHIND: time::Duration = time::Duration::from_millis(250);
 
 /// How often the store is called.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,95 +44,145 @@
     }
 }
 
-/// Follows `source` until `timer` stops, and tells `hear` all there is to know.
-/// `newest` tells how far the store is. `what` names the objects in logs.
-pub async fn follow<S: follow::Source>(
-    what: &'static str,
-    source: S,
-    pace: Pace,
-    timer: timer::Service,
-    newest: watch::Receiver<ids::Revision>,
-    mut hear: impl FnMut(follow::News<S::Item>),
-) {
-    let mut follower = Follower {
-        what,
-        source,
-        newest,
-        at: None,
-    };
-    let mut failures = 0_u32;
-    loop {
-        let pause = match follower.step(&mut hear).await {
-            Ok(changed) => {
-                if failures > 0 {
-                    log::info!(what = what, failures = failures, revision:? = follower.at; "store is back");
+/// Follows one kind by a watch of a copy that may lag, and lists it where a
+/// sighting shows that the watch missed something.
+#[derive(Debug)]
+pub struct Follower<S> {
+    /// Names the objects in logs.
+    pub what: &'static str,
+    /// The objects.
+    pub source: S,
+    /// What is held of them; whoever else lists them takes part.
+    pub held: follow::Shared,
+    /// The last sighting of the store.
+    pub sightings: watch::Receiver<Option<follow::Sighting>>,
+    /// How often the store is called.
+    pub pace: Pace,
+}
+
+/// What one call came to.
+enum Step {
+    /// Nothing new.
+    Quiet,
+    /// News were told.
+    Told,
+}
+
+impl<S: follow::Source> Follower<S> {
+    /// Tells `hear` all there is to know, until `timer` stops.
+    pub async fn run(
+        mut self,
+        timer: timer::Service,
+        mut hear: impl FnMut(follow::News<S::Value>),
+    ) {
+        let what = self.what;
+        let mut failures = 0_u32;
+        loop {
+            let pause = match self.step(&mut hear).await {
+                Ok(step) => {
+                    if failures > 0 {
+                        log::info!(what = what, failures = failures, revision:? = self.held.borrow().at(); "watch is back");
+                    }
+                    failures = 0;
+                    match step {
+                        Step::Told => self.pace.gather,
+                        Step::Quiet => time::Duration::ZERO,
+                    }
                 }
-                failures = 0;
-                if changed { pace.gather } else { time::Duration::ZERO }
-            }
-            Err(follow::Error::Expired) => {
-                log::info!(what = what, revision:? = follower.at; "history dropped; listing again");
-                follower.at = None;
-                time::Duration::ZERO
-            }
-            Err(error) => {
-                if failures == 0 {
-                    log::warn!(what = what, revision:? = follower.at, error:% = error; "store lost");
+                Err(error) => {
+                    if failures == 0 {
+                        log::warn!(what = what, revision:? = self.held.borrow().at(), error:% = error; "watch lost");
+                    }
+                    failures += 1;
+                    self.pace.backoff(failures)
                 }
-                failures += 1;
-                pace.backoff(failures)
+            };
+            if !pause.is_zero() && !timer.pause(pause).await {
+                return;
             }
-        };
-        if !pause.is_zero() && !timer.pause(pause).await {
-            return;
         }
     }
-}
-
-struct Follower<S> {
-    what: &'static str,
-    source: S,
-    newest: watch::Receiver<ids::Revision>,
-    at: Option<ids::Revision>,
-}
 
-impl<S: follow::Source> Follower<S> {
-    /// One call; whether it told anything.
     async fn step(
         &mut self,
-        hear: &mut impl FnMut(follow::News<S::Item>),
-    ) -> Result<bool, follow::Error> {
-        let Some(revision) = self.at else {
-            let snapshot = self.source.list().await?;
-            self.at = Some(snapshot.revision);
-            hear(follow::News::All(snapshot.items));
-            return Ok(false);
+        hear: &mut impl FnMut(follow::News<S::Value>),
+    ) -> Result<Step, follow::Error> {
+        let Some(revision) = self.held.borrow().at() else {
+            self.list(hear).await?;
+            return Ok(Step::Quiet);
         };
         let watched = tokio::select! {
-            watched = self.source.watch(revision) => Some(watched?),
-            () = behind(&mut self.newest, revision) => None,
+            watched = self.source.watch(revision) => watched,
+            () = missed(&mut self.sightings, &self.held) => {
+                self.list(hear).await?;
+                return Ok(Step::Quiet);
+            }
         };
-        let Some((changes, told)) = watched else {
-            let newest = *self.newest.borrow();
-            log::info!(what = self.what, revision:% = revision, newest:% = newest; "watch is behind; listing again");
-            self.at = None;
-            return Ok(false);
+        let (changes, told) = match watched {
+            Err(follow::Error::Expired) => {
+                log::info!(what = self.what, revision:% = revision; "history dropped; listing again");
+                self.list(hear).await?;
+                return Ok(Step::Quiet);
+            }
+            watched => watched?,
         };
-        // A stale copy may tell of less than was heard before.
-        self.at = Some(revision.max(told));
+        let changes = self.held.borrow_mut().change(changes, told);
         if changes.is_empty() {
-            return Ok(false);
+            return Ok(Step::Quiet);
         }
         hear(follow::News::Changes(changes));
-        Ok(true)
+        Ok(Step::Told)
+    }
+
+    /// Lists from a copy where that is enough, by a linearizable read else.
+    async fn list(
+        &mut self,
+        hear: &mut impl FnMut(follow::News<S::Value>),
+    ) -> Result<(), follow::Error> {
+        let mut snapshot = self.source.list(follow::Read::Copy).await?;
+        let seen = *self.sightings.borrow();
+        if seen.is_some_and(|seen| !seen.agrees(&snapshot)) {
+            snapshot = self.source.list(follow::Read::Linearizable).await?;
+        }
+        log::info!(what = self.what, revision:% = snapshot.revision, objects = snapshot.items.len(), sighting:? = seen; "listed");
+        if self.held.borrow_mut().list(&snapshot) {
+            hear(follow::News::All(snapshot.items));
+        }
+        Ok(())
     }
 }
 
-/// Ends once the store has been beyond `revision` for a while.
-async fn behind(newest: &mut watch::Receiver<ids::Revision>, revision: ids::Revision) {
-    if newest.wait_for(|newest| *newest > revision).await.is_err() {
-        // Nobody polls any more: the process stops.
-        return std::future::pending().await;
+/// Ends once a sighting has shown for a while what isn't held.
+async fn missed(
+    sightings: &mut watch::Receiver<Option<follow::Sighting>>,
+    held: &follow::Shared,
+) {
+    loop {
+        let seen = *sightings.borrow_and_update();
+        if seen.is_some_and(|seen| seen.shows_more_than(&held.borrow())) {
+            tokio::time::sleep(BEHIND).await;
+            if seen.is_some_and(|seen| seen.shows_more_than(&held.borrow())) {
+                return;
+            }
+        }
+        if sightings.changed().await.is_err() {
+            // Nobody looks any more: the process stops.
+            return std::future::pending().await;
+        }
+    }
+}
+
+impl follow::Sighting {
+    /// Whether a list shows at least what was seen.
+    fn agrees<T>(&self, snapshot: &follow::Snapshot<T>) -> bool {
+        // Beyond the sighting, the list may rightly differ from it.
+        snapshot.revision > self.revision
+            || self.registrations == follow::Digest::of(&snapshot.items)
+    }
+
+    /// Whether the store has what `held` lacks.
+    fn shows_more_than(&self, held: &follow::Held) -> bool {
+        let newer = held.at().is_none_or(|at| at <= self.revision);
+        newer && held.digest() != self.registrations
     }
-    tokio::time::sleep(BEHIND).await;
 }
--- a/crates/geraniumgauge/src/jsonc/field.rs
+++ b/crates/geraniumgauge/src/jsonc/field.rs
@@ -61,6 +61,17 @@
         /// Checks and keeps the value.
         set: SetText<T>,
     },
+    /// A list of whole numbers.
+    Wholes {
+        /// Lowest value allowed.
+        min: u64,
+        /// Highest value allowed.
+        max: u64,
+        /// Reads the values.
+        get: fn(&T) -> Vec<u64>,
+        /// Keeps the values; an error reads `problem; remedy`.
+        set: fn(&mut T, &[u64]) -> Result<(), String>,
+    },
     /// A list of texts of some form.
     Texts {
         /// The form of each.
@@ -82,6 +93,7 @@
             Self::Number { min, max, .. } => format!("a number from {min} to {max}"),
             Self::Flag { .. } => "true or false".to_owned(),
             Self::Text { form, .. } => (*form).to_owned(),
+            Self::Wholes { min, max, .. } => format!("a list of whole numbers from {min} to {max}"),
             Self::Texts { form, .. } => format!("a list, each {form}"),
         }
     }
@@ -93,6 +105,7 @@
             Self::Number { get, .. } => Some(get(values).to_string()),
             Self::Flag { get, .. } => Some(get(values).to_string()),
             Self::Text { get, .. } => get(values).map(|text| format!("{text:?}")),
+            Self::Wholes { get, .. } => Some(format!("{:?}", get(values))),
             Self::Texts { get, .. } => Some(format!("{:?}", get(values))),
         }
     }
--- a/crates/geraniumgauge/src/jsonc/read.rs
+++ b/crates/geraniumgauge/src/jsonc/read.rs
@@ -212,6 +212,12 @@
                 let kept = set(self.values, &text.value);
                 self.kept(value, field.path, kept);
             }
+            (Kind::Wholes { min, max, set, .. }, ast::Value::Array(list)) => {
+                if let Some(wholes) = self.wholes(field.path, &form, (*min, *max), list) {
+                    let kept = set(self.values, &wholes);
+                    self.kept(value, field.path, kept);
+                }
+            }
             (Kind::Texts { push, form, .. }, ast::Value::Array(list)) => {
                 self.list(field.path, form, *push, list);
             }
@@ -219,6 +225,29 @@
         }
     }
 
+    /// The numbers of a list; `None` where one of them is a finding.
+    fn wholes(
+        &mut self,
+        path: &str,
+        form: &str,
+        (min, max): (u64, u64),
+        list: &ast::Array<'_>,
+    ) -> Option<Vec<u64>> {
+        let mut wholes = Vec::new();
+        for (index, element) in list.elements.iter().enumerate() {
+            let path = format!("{path}[{index}]");
+            let ast::Value::NumberLit(number) = element else {
+                self.wrong(element, &path, form);
+                continue;
+            };
+            match number.value.parse() {
+                Ok(whole) if (min..=max).contains(&whole) => wholes.push(whole),
+                _ => self.range(element, &path, number.value, form),
+            }
+        }
+        (wholes.len() == list.elements.len()).then_some(wholes)
+    }
+
     fn list(
         &mut self,
         path: &str,
