--- a/crates/geraniumgauge/src/edge/state.rs
+++ b/crates/geraniumgauge/src/edge/state.rs
@@ -607,8 +607,11 @@
     }
 
     /// Opens a first connection, so that the first request doesn't wait for it.
+    /// Only where first calls will go: a connection of every VM to every
+    /// upstream would pass the upstreams' limits on a fleet of some sixty, and
+    /// most would close unused.
     fn warm(&mut self, upstream: registry::Handle) {
-        if self.fleet.registry.get(upstream).entry.state == registry::State::Ready {
+        if self.fleet.is_first_choice(upstream) {
             self.open(upstream);
         }
     }
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -181,6 +181,20 @@
         Some(cost)
     }
 
+    /// Whether first calls may go to an upstream: it is ready, and in this data
+    /// centre, or its service has none there.
+    pub fn is_first_choice(&self, upstream: registry::Handle) -> bool {
+        let near = |handle: registry::Handle| {
+            let entry = &self.registry.get(handle).entry;
+            entry.state == registry::State::Ready
+                && entry.data_centre == self.own.data_centre
+        };
+        let entry = &self.registry.get(upstream).entry;
+        let ready = entry.state == registry::State::Ready;
+        let others = self.registry.of(&entry.service);
+        near(upstream) || ready && !others.iter().any(|other| near(*other))
+    }
+
     /// Takes the end of a call that nobody waited for any more: with a reply
     /// after `took`, or given up without one.
     pub fn orphan_ended(&mut self, orphan: &Orphan, replied: bool, now: clock::Moment) {
