--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -74,13 +74,21 @@
         state.fleet.keep_routes(&table);
         state.table = Some(rc::Rc::new(table));
         drop(state);
-        self.phase.send_if_modified(|phase| {
-            let first = *phase == Phase::Starting;
-            if first {
-                *phase = Phase::Serving;
-            }
-            first
-        });
+        self.serve_if_known();
+    }
+
+    /// The registrations were listed, so that those missing are truly missing.
+    pub fn listed(&self) {
+        self.state.borrow_mut().listed = true;
+        self.serve_if_known();
+    }
+
+    /// Gets ready once both the configuration and the upstreams are known. A VM
+    /// that knew routes alone would refuse what any other VM can serve.
+    fn serve_if_known(&self) {
+        if self.table().is_some() && self.phase() == Phase::Starting {
+            self.enter(Phase::Serving);
+        }
     }
 
     /// The version in force.
@@ -136,6 +144,19 @@
         self.state.borrow().running()
     }
 
+    /// Upstreams registered.
+    pub fn known(&self) -> usize {
+        self.state.borrow().fleet.registry.len()
+    }
+
+    /// Upstreams registered that may get requests.
+    pub fn usable(&self) -> usize {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let registry = &state.fleet.registry;
+        registry.iter().filter(|known| known.usable(now) == registry::Use::Full).count()
+    }
+
     /// The edge's clock.
     pub fn clock(&self) -> clock::Clock {
         self.clock
@@ -149,9 +170,10 @@
         &self.count
     }
 
-    /// The configuration in force.
+    /// The configuration in force, once the upstreams are known too.
     pub(super) fn table(&self) -> Option<route::Shared> {
-        self.state.borrow().table.clone()
+        let state = self.state.borrow();
+        state.table.clone().filter(|_| state.listed)
     }
 
     pub(super) fn submit(
--- a/crates/geraniumgauge/src/edge/state.rs
+++ b/crates/geraniumgauge/src/edge/state.rs
@@ -77,6 +77,8 @@
 pub(super) struct State {
     pub(super) fleet: forward::Fleet,
     pub(super) table: Option<route::Shared>,
+    /// Whether the registrations were listed.
+    pub(super) listed: bool,
     pub(super) orders: Vec<Order>,
     names: h1::Names,
     count: edge::Count,
@@ -95,6 +97,7 @@
         Self {
             fleet,
             table: None,
+            listed: false,
             orders: Vec::new(),
             names,
             count,
--- a/crates/geraniumgauge/src/logs/tests.rs
+++ b/crates/geraniumgauge/src/logs/tests.rs
@@ -49,11 +49,11 @@
             sink.push(&"x".repeat(1000), start + time::Duration::from_secs(second));
         }
     }
-    for _ in 0..3 {
-        go.send(()).unwrap();
-    }
+    go.send(()).unwrap();
     let first = written.recv().unwrap();
-    let second = written.recv_timeout(time::Duration::from_secs(30)).unwrap_or_default();
+    sink.push("one more", start + time::Duration::from_secs(20));
+    go.send(()).unwrap();
+    let second = written.recv().unwrap();
     assert!(first.len() + second.len() < 1 << 20);
     let text = String::from_utf8([first, second].concat()).unwrap();
     assert!(text.contains("log lines dropped"), "{}", text.len());
--- a/crates/geraniumgauge/src/registry/mod.rs
+++ b/crates/geraniumgauge/src/registry/mod.rs
@@ -215,6 +215,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The upstreams that are registered.
+    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
+        self.by_id.values().map(|handle| self.get(*handle))
+    }
+
     /// How many upstreams are registered.
     pub fn len(&self) -> usize {
         self.by_id.len()
