--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -6,8 +6,14 @@
 //! that is asked: which upstream, when to hedge and when to give up stay with
 //! the VM that took the caller's request.
 
+use std::time;
+
 use prost::Message as _;
 
+use crate::ids;
+use crate::registry;
+use crate::time as clock;
+
 /// Largest frame: the replies of a search come as its greatest records.
 pub(super) const MAX: usize = 4 << 20;
 /// Bytes of the length before each frame.
@@ -71,8 +77,54 @@
     #[prost(uint64, tag = "1")]
     pub(super) id: u64,
     /// The upstream.
+    #[prost(message, optional, tag = "2")]
+    pub(super) upstream: Option<Upstream>,
+}
+
+/// An upstream, as it registered itself.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub(super) struct Upstream {
+    #[prost(string, tag = "1")]
+    pub(super) id: String,
     #[prost(string, tag = "2")]
-    pub(super) upstream: String,
+    pub(super) service: String,
+    #[prost(string, tag = "3")]
+    pub(super) address: String,
+    #[prost(uint32, tag = "4")]
+    pub(super) slots: u32,
+    /// Milliseconds since the Unix epoch at its start.
+    #[prost(uint64, tag = "5")]
+    pub(super) born: u64,
+}
+
+impl From<&registry::Entry> for Upstream {
+    fn from(entry: &registry::Entry) -> Self {
+        Self {
+            id: entry.id.to_string(),
+            service: entry.service.to_string(),
+            address: entry.address.to_string(),
+            slots: entry.slots,
+            born: entry.born.0,
+        }
+    }
+}
+
+impl Upstream {
+    /// The entry that another VM means, in this VM's data centre; `None` where
+    /// it names none.
+    pub(super) fn entry(&self, data_centre: &ids::DataCentre) -> Option<registry::Entry> {
+        Some(registry::Entry {
+            id: self.id.parse().ok()?,
+            service: self.service.parse().ok()?,
+            address: self.address.parse().ok()?,
+            data_centre: data_centre.clone(),
+            slots: self.slots,
+            state: registry::State::Ready,
+            warm_up: time::Duration::ZERO,
+            born: clock::Wall(self.born),
+        })
+    }
 }
 
 /// Nobody waits for these calls any more.
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -61,10 +61,11 @@
     }
 
     fn allowed(&self, upstream: registry::Handle) -> u32 {
-        let service = &self.fleet.registry.get(upstream).entry.service;
-        let known = self.table.as_ref().and_then(|table| table.service(service));
+        let entry = &self.fleet.registry.get(upstream).entry;
+        let known = self.table.as_ref().and_then(|table| table.service(&entry.service));
         let limit = known.map_or(1, |service| service.max_connections);
-        pool::Pool::allowed(self.relays.connections(limit, self.fleet.vms()))
+        let vms = self.fleet.vms();
+        pool::Pool::allowed(self.relays.connections(&entry.data_centre, limit, vms))
     }
 
     /// The idle connection used last, unless the upstream may be closing it.
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -12,7 +12,6 @@
 use crate::forward;
 use crate::h1;
 use crate::ids;
-use crate::registry;
 use crate::time as clock;
 
 /// Time that a frame of merged replies has to arrive before the calls that it
@@ -133,7 +132,7 @@
                 .iter()
                 .map(|send| frame::Call {
                     id: send.call.0,
-                    upstream: registry.get(send.upstream).entry.id.to_string(),
+                    upstream: Some((&registry.get(send.upstream).entry).into()),
                 })
                 .collect(),
         };
@@ -328,17 +327,15 @@
         message: &rc::Rc<call::Message>,
         now: clock::Moment,
     ) {
-        let known = wanted.upstream.parse().ok();
-        let known = known.and_then(|id: ids::Upstream| self.fleet.registry.find(&id));
         let id = self.fleet.next_call();
         if let Some(asked) = self.peers.asks.get_mut(&ask) {
             asked.pending.insert(wanted.id, id);
         }
-        let usable = |upstream: &registry::Handle| {
-            self.fleet.registry.get(*upstream).usable(now) != registry::Use::Never
-        };
-        let Some(upstream) = known.filter(usable) else {
-            log::info!(request = message.id.as_str(), upstream = wanted.upstream.as_str(); "call for another VM not made: upstream unknown or leaving");
+        let own = self.fleet.own().data_centre.clone();
+        let entry = wanted.upstream.as_ref().and_then(|upstream| upstream.entry(&own));
+        let registry = &mut self.fleet.registry;
+        let Some(upstream) = entry.and_then(|entry| registry.named(&entry, now)) else {
+            log::info!(request = message.id.as_str(), upstream:? = wanted.upstream; "call for another VM not made: its upstream gets no more requests");
             self.ask_ended(ask, wanted.id, forward::Verdict::NotSent, time::Duration::ZERO);
             return;
         };
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// This VM.
+    pub fn own(&self) -> &Own {
+        &self.own
+    }
+
     /// VMs that may be alive: they share the budgets and connection limits.
     pub fn vms(&self) -> usize {
         self.vms
--- a/crates/geraniumgauge/src/forward/relay.rs
+++ b/crates/geraniumgauge/src/forward/relay.rs
@@ -22,6 +22,10 @@
 const LARGER: f64 = 2.0;
 /// Part of the largest VM's power from which a VM makes calls for others.
 const POWERFUL: f64 = 0.6;
+/// Part of an upstream's connections that VMs of its data centre share.
+const NEAR: f64 = 0.65;
+/// Part of an upstream's connections that VMs of other data centres share.
+const FAR: f64 = 0.35;
 /// How long a VM may leave a frame unanswered before no more are sent to it.
 const SILENT: time::Duration = time::Duration::from_millis(80);
 
@@ -144,19 +148,24 @@
         }
     }
 
-    /// Connections to one upstream that this VM may have, where the upstream
-    /// takes `limit` from all VMs. VMs that make calls for others share half of
-    /// them; the rest is shared by all.
-    pub fn connections(&self, limit: u32, vms: usize) -> f64 {
+    /// Connections to one upstream of `data_centre` that this VM may have, where
+    /// the upstream takes `limit` from all of `vms` VMs. Those beside it make
+    /// most calls to it, their own and those of VMs elsewhere; among them, the
+    /// larger ones make those of the smaller ones.
+    pub fn connections(&self, data_centre: &ids::DataCentre, limit: u32, vms: usize) -> f64 {
         let limit = f64::from(limit);
         let beside = self.known.iter().filter(|known| known.helper.data_centre == self.own);
         let smaller = |known: &&Known| known.helper.power * LARGER <= self.power;
         let (smaller, equal): (Vec<_>, Vec<_>) = beside.partition(smaller);
-        let even = limit / vms.max(1) as f64;
+        let beside = smaller.len() + equal.len() + 1;
+        if *data_centre != self.own {
+            let elsewhere = vms.saturating_sub(beside);
+            return FAR * limit / (beside + elsewhere) as f64;
+        }
         if smaller.is_empty() {
-            return even;
+            return NEAR * limit / beside as f64;
         }
-        limit / 2.0 / (equal.len() + 1) as f64
+        NEAR * limit / (equal.len() + 1) as f64
     }
 
     fn find(&mut self, address: net::SocketAddr) -> Option<&mut Known> {
--- a/crates/geraniumgauge/src/registry/mod.rs
+++ b/crates/geraniumgauge/src/registry/mod.rs
@@ -119,6 +119,8 @@
     upstreams: Vec<Upstream>,
     by_id: collections::HashMap<ids::Upstream, Handle>,
     by_service: collections::HashMap<ids::Service, Vec<Handle>>,
+    /// Upstreams that only other VMs have told of.
+    foreign: collections::HashMap<ids::Upstream, Handle>,
 }
 
 impl Registry {
@@ -210,9 +212,30 @@
         &self.upstreams[handle.index()]
     }
 
-    /// The upstream with this id.
-    pub fn find(&self, id: &ids::Upstream) -> Option<Handle> {
-        self.by_id.get(id).copied()
+    /// The upstream that another VM names, which calls it by this one's help.
+    ///
+    /// A VM that is cut off from the store doesn't know the upstreams that came
+    /// meanwhile; refusing their calls would fail searches of all the others.
+    /// Such an upstream is kept for calls on behalf of others only. `None`
+    /// where this VM knows that the upstream gets no more requests.
+    pub fn named(&mut self, entry: &Entry, now: clock::Moment) -> Option<Handle> {
+        if let Some(known) = self.by_id.get(&entry.id).copied() {
+            let upstream = self.get(known);
+            if upstream.entry.born == entry.born {
+                return (upstream.usable(now) != Use::Never).then_some(known);
+            }
+            if upstream.entry.born > entry.born {
+                return None;
+            }
+        }
+        if let Some(known) = self.foreign.get(&entry.id).copied()
+            && self.get(known).entry == *entry
+        {
+            return Some(known);
+        }
+        let handle = self.push(entry.clone(), now);
+        self.foreign.insert(entry.id.clone(), handle);
+        Some(handle)
     }
 
     /// The upstreams of a service, those gone left out.
@@ -241,19 +264,25 @@
     }
 
     fn add(&mut self, entry: Entry, now: clock::Moment) -> Change {
-        let handle = Handle(u32::try_from(self.upstreams.len()).unwrap_or(u32::MAX));
-        if let Some(before) = self.by_id.insert(entry.id.clone(), handle) {
+        let (id, service) = (entry.id.clone(), entry.service.clone());
+        self.foreign.remove(&id);
+        let handle = self.push(entry, now);
+        if let Some(before) = self.by_id.insert(id, handle) {
             self.unlist(before);
         }
-        let listed = self.by_service.entry(entry.service.clone()).or_default();
-        listed.push(handle);
+        self.by_service.entry(service).or_default().push(handle);
+        Change::Came(handle)
+    }
+
+    fn push(&mut self, entry: Entry, now: clock::Moment) -> Handle {
+        let handle = Handle(u32::try_from(self.upstreams.len()).unwrap_or(u32::MAX));
         self.upstreams.push(Upstream {
             warm_at: now + entry.warm_up,
             entry,
             vanished: None,
             gone: false,
         });
-        Change::Came(handle)
+        handle
     }
 
     fn drop(&mut self, handle: Handle) {
