--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -95,7 +95,10 @@
 
     /// The next request.
     async fn next(&mut self) -> Next {
-        let limits = self.engine.table().map_or(FIRST_LIMITS, |table| table.limits());
+        let limits = self
+            .engine
+            .table()
+            .map_or(FIRST_LIMITS, |table| table.limits());
         self.codec.limit(limits.head, limits.body);
         let mut began = None;
         loop {
@@ -125,7 +128,9 @@
     }
 
     async fn go_on(&mut self) -> std::io::Result<()> {
-        self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await
+        self.stream
+            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+            .await
     }
 
     /// Reads more; false where the connection ended, or an idle one is to.
@@ -193,10 +198,7 @@
     }
 
     /// Waits for the end of a request; `None` where the caller left before.
-    async fn wait(
-        &mut self,
-        id: u64,
-    ) -> Option<(crate::forward::Outcome, crate::forward::Job)> {
+    async fn wait(&mut self, id: u64) -> Option<(crate::forward::Outcome, crate::forward::Job)> {
         loop {
             if let Some(done) = self.engine.take(id) {
                 return Some(done);
--- a/crates/geraniumgauge/src/edge/count.rs
+++ b/crates/geraniumgauge/src/edge/count.rs
@@ -27,16 +27,28 @@
         ];
         let seconds = |name, about| {
             let histogram = meter.f64_histogram(name).with_description(about);
-            histogram.with_unit("s").with_boundaries(bounds.clone()).build()
+            histogram
+                .with_unit("s")
+                .with_boundaries(bounds.clone())
+                .build()
         };
         let counter = |name, about| meter.u64_counter(name).with_description(about).build();
         Self {
-            requests: counter("edge_requests", "Callers' requests answered, by route and outcome"),
-            seconds: seconds("edge_request", "Time from a request to its answer, by route"),
+            requests: counter(
+                "edge_requests",
+                "Callers' requests answered, by route and outcome",
+            ),
+            seconds: seconds(
+                "edge_request",
+                "Time from a request to its answer, by route",
+            ),
             calls: counter("edge_calls", "Calls to upstreams begun, by why"),
             ended: counter("edge_calls_ended", "Calls to upstreams ended, by how"),
             call_seconds: seconds("edge_call", "Time from a call to its reply"),
-            connections: counter("edge_connections", "Connections to upstreams opened, by outcome"),
+            connections: counter(
+                "edge_connections",
+                "Connections to upstreams opened, by outcome",
+            ),
             missing: counter("edge_missing_shards", "Shards left out of merged answers"),
         }
     }
@@ -44,8 +56,10 @@
     /// A request was answered.
     pub fn request(&self, route: &str, outcome: &'static str, took: time::Duration) {
         let route = KeyValue::new("route", route.to_owned());
-        self.seconds.record(took.as_secs_f64(), std::slice::from_ref(&route));
-        self.requests.add(1, &[route, KeyValue::new("outcome", outcome)]);
+        self.seconds
+            .record(took.as_secs_f64(), std::slice::from_ref(&route));
+        self.requests
+            .add(1, &[route, KeyValue::new("outcome", outcome)]);
     }
 
     /// A merged answer left shards out.
@@ -72,6 +86,7 @@
 
     /// A connection to an upstream was tried.
     pub fn connection(&self, outcome: &'static str) {
-        self.connections.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.connections
+            .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 }
--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -192,7 +192,10 @@
         let now = self.clock.now();
         let state = self.state.borrow();
         let registry = &state.fleet.registry;
-        registry.iter().filter(|known| known.usable(now) == registry::Use::Full).count()
+        registry
+            .iter()
+            .filter(|known| known.usable(now) == registry::Use::Full)
+            .count()
     }
 
     /// The edge's clock.
@@ -240,10 +243,7 @@
     }
 
     /// Changes the state, then does what only tasks can.
-    pub(super) fn with<T>(
-        &self,
-        change: impl FnOnce(&mut state::State, clock::Moment) -> T,
-    ) -> T {
+    pub(super) fn with<T>(&self, change: impl FnOnce(&mut state::State, clock::Moment) -> T) -> T {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let result = change(&mut state, now);
--- a/crates/geraniumgauge/src/edge/link.rs
+++ b/crates/geraniumgauge/src/edge/link.rs
@@ -48,7 +48,8 @@
             }
         };
         let link = self.link;
-        self.engine.with(|state, now| state.connected(link, writer, now));
+        self.engine
+            .with(|state, now| state.connected(link, writer, now));
         let why = match self.read(reader).await {
             Ok(()) => return,
             Err(error) => error.to_string(),
@@ -85,7 +86,10 @@
                 };
                 let more = !buffer.is_empty();
                 let link = self.link;
-                if !self.engine.with(|state, now| state.replied(link, reply, more, now)) {
+                if !self
+                    .engine
+                    .with(|state, now| state.replied(link, reply, more, now))
+                {
                     return Ok(());
                 }
             }
--- a/crates/geraniumgauge/src/edge/operators.rs
+++ b/crates/geraniumgauge/src/edge/operators.rs
@@ -86,7 +86,14 @@
         let (status, body) = match path {
             "/readyz" => {
                 let ready = self.engine.phase() == engine::Phase::Serving;
-                (if ready { "200 OK" } else { "503 Service Unavailable" }, String::new())
+                (
+                    if ready {
+                        "200 OK"
+                    } else {
+                        "503 Service Unavailable"
+                    },
+                    String::new(),
+                )
             }
             "/healthz" => ("200 OK", String::new()),
             "/metrics" => match self.metrics.text() {
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -62,7 +62,10 @@
 
     fn allowed(&self, upstream: registry::Handle) -> u32 {
         let entry = &self.fleet.registry.get(upstream).entry;
-        let known = self.table.as_ref().and_then(|table| table.service(&entry.service));
+        let known = self
+            .table
+            .as_ref()
+            .and_then(|table| table.service(&entry.service));
         let limit = known.map_or(1, |service| service.max_connections);
         let vms = self.fleet.vms();
         pool::Pool::allowed(self.relays.connections(&entry.data_centre, limit, vms))
@@ -130,7 +133,12 @@
     }
 
     /// A connection couldn't be opened.
-    pub(in crate::edge) fn unreachable(&mut self, link: pool::Link, error: &str, now: clock::Moment) {
+    pub(in crate::edge) fn unreachable(
+        &mut self,
+        link: pool::Link,
+        error: &str,
+        now: clock::Moment,
+    ) {
         let Some(known) = self.links.remove(&link) else {
             return;
         };
@@ -169,7 +177,8 @@
         call.link = Some(link);
         let entry = &self.fleet.registry.get(call.upstream).entry;
         self.scratch.clear();
-        call.message.write(&self.names, entry, now, &mut self.scratch);
+        call.message
+            .write(&self.names, entry, now, &mut self.scratch);
         if sender.send(&self.scratch).is_err() {
             // Nothing of this call left the VM.
             self.end(id, forward::Verdict::NotSent, now);
@@ -179,7 +188,9 @@
 
     /// Whether a call waits for its reply on a connection.
     pub(in crate::edge) fn is_busy(&self, link: pool::Link) -> bool {
-        self.links.get(&link).is_some_and(|known| known.call.is_some())
+        self.links
+            .get(&link)
+            .is_some_and(|known| known.call.is_some())
     }
 
     /// A reply was read; `more` where bytes followed it. Returns whether the
@@ -199,7 +210,11 @@
             self.close(link);
             return false;
         };
-        if reply.id.as_deref().is_some_and(|echoed| echoed != call.message.id) {
+        if reply
+            .id
+            .as_deref()
+            .is_some_and(|echoed| echoed != call.message.id)
+        {
             // A second reply to an earlier call: ours is still to come.
             log::warn!(
                 request = call.message.id.as_str(), echoed = reply.id.as_deref();
@@ -211,7 +226,10 @@
         known.keep_alive = reply.keep_alive.or(known.keep_alive);
         // While a part of the call is unwritten, the upstream would take the
         // next call's bytes for it.
-        let writing = known.sender.as_ref().is_some_and(sender::Sender::is_writing);
+        let writing = known
+            .sender
+            .as_ref()
+            .is_some_and(sender::Sender::is_writing);
         let ends = reply.close || more || writing;
         let verdict = call.message.verdict(reply);
         self.end(id, verdict, now);
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -283,18 +283,16 @@
         self.act(id, actions, now);
     }
 
-    fn orphan_ended(
-        &mut self,
-        call: &call::Call,
-        verdict: &forward::Verdict,
-        now: clock::Moment,
-    ) {
+    fn orphan_ended(&mut self, call: &call::Call, verdict: &forward::Verdict, now: clock::Moment) {
         let orphan = forward::Orphan {
             upstream: call.upstream,
             began: call.began,
             usual: call.orphan.unwrap_or_default(),
         };
-        let replied = matches!(verdict, forward::Verdict::Good(_) | forward::Verdict::Failure(_));
+        let replied = matches!(
+            verdict,
+            forward::Verdict::Good(_) | forward::Verdict::Failure(_)
+        );
         self.fleet.orphan_ended(&orphan, replied, now);
     }
 
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -68,7 +68,11 @@
         sends: Vec<forward::Send>,
         now: clock::Moment,
     ) -> Vec<forward::Send> {
-        let Some(running) = self.running.get(&job).filter(|running| running.message.sharded) else {
+        let Some(running) = self
+            .running
+            .get(&job)
+            .filter(|running| running.message.sharded)
+        else {
             return sends;
         };
         let (_, all) = running.job.progress();
@@ -94,7 +98,11 @@
             // A first call alone is as cheap by itself. A later one of a small
             // VM would wait for a connection, which the other VM has.
             let alone = place.first && sends.len() == 1;
-            let helper = if alone { None } else { self.relays.choose(&place.data_centre, all, now) };
+            let helper = if alone {
+                None
+            } else {
+                self.relays.choose(&place.data_centre, all, now)
+            };
             match helper {
                 Some(address) => own.extend(self.ask(job, address, sends, place.first, now)),
                 None => own.extend(sends),
@@ -116,7 +124,11 @@
             return Vec::new();
         };
         let message = running.message.clone();
-        let merge = running.job.hedge_after().saturating_sub(ON_TIME).max(LEAST_MERGE);
+        let merge = running
+            .job
+            .hedge_after()
+            .saturating_sub(ON_TIME)
+            .max(LEAST_MERGE);
         // Later calls are late already: each reply is told at once.
         let merge = if merged { merge } else { time::Duration::ZERO };
         let registry = &self.fleet.registry;
@@ -197,7 +209,10 @@
             log::info!(vm:% = address, error = error; "connection to VM lost");
         }
         self.relays.lost(address);
-        let via = self.calls.iter().filter(|(_, call)| call.via == Some(address));
+        let via = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.via == Some(address));
         let lost: Vec<ids::Attempt> = via.map(|(id, _)| *id).collect();
         for id in lost {
             self.end(id, forward::Verdict::Lost, now);
@@ -217,7 +232,9 @@
         let group = good.clone().count() > 1;
         // Merged records can't be taken apart: where one of the calls isn't
         // known any more, none of them is of use.
-        let whole = good.clone().all(|end| self.calls.contains_key(&ids::Attempt(end.id)));
+        let whole = good
+            .clone()
+            .all(|end| self.calls.contains_key(&ids::Attempt(end.id)));
         let mut records = Some(told.records);
         for end in told.ends {
             let id = ids::Attempt(end.id);
@@ -235,9 +252,7 @@
                     forward::Verdict::Good(reply)
                 }
                 // Too little of the reply is told to pass it on.
-                frame::How::Good | frame::How::Failure | frame::How::Lost => {
-                    forward::Verdict::Lost
-                }
+                frame::How::Good | frame::How::Failure | frame::How::Lost => forward::Verdict::Lost,
                 frame::How::NotRun => forward::Verdict::NotRun { retry_after: None },
                 frame::How::Misdirected => forward::Verdict::Misdirected,
                 frame::How::NotSent => forward::Verdict::NotSent,
@@ -332,11 +347,19 @@
             asked.pending.insert(wanted.id, id);
         }
         let own = self.fleet.own().data_centre.clone();
-        let entry = wanted.upstream.as_ref().and_then(|upstream| upstream.entry(&own));
+        let entry = wanted
+            .upstream
+            .as_ref()
+            .and_then(|upstream| upstream.entry(&own));
         let registry = &mut self.fleet.registry;
         let Some(upstream) = entry.and_then(|entry| registry.named(&entry, now)) else {
             log::info!(request = message.id.as_str(), upstream:? = wanted.upstream; "call for another VM not made: its upstream gets no more requests");
-            self.ask_ended(ask, wanted.id, forward::Verdict::NotSent, time::Duration::ZERO);
+            self.ask_ended(
+                ask,
+                wanted.id,
+                forward::Verdict::NotSent,
+                time::Duration::ZERO,
+            );
             return;
         };
         self.fleet.standing(upstream).start();
@@ -344,7 +367,8 @@
             ask,
             remote: wanted.id,
         };
-        self.calls.insert(id, call::Call::new(owner, upstream, message.clone(), now));
+        self.calls
+            .insert(id, call::Call::new(owner, upstream, message.clone(), now));
         self.pool(upstream).waiting.push_back(id);
         self.dispatch(upstream, now);
     }
@@ -355,7 +379,9 @@
         for ask in self.peers.asks.values_mut().filter(|ask| ask.peer == peer) {
             left.extend(calls.iter().filter_map(|remote| ask.pending.remove(remote)));
         }
-        self.peers.asks.retain(|_, ask| !ask.pending.is_empty() || !ask.good.is_empty());
+        self.peers
+            .asks
+            .retain(|_, ask| !ask.pending.is_empty() || !ask.good.is_empty());
         for call in left {
             self.orphan(call, now);
         }
@@ -410,7 +436,11 @@
     }
 
     fn tell_good_if_last(&mut self, id: u64) {
-        let last = self.peers.asks.get(&id).is_some_and(|ask| ask.pending.is_empty());
+        let last = self
+            .peers
+            .asks
+            .get(&id)
+            .is_some_and(|ask| ask.pending.is_empty());
         if last {
             self.tell_good(id);
         }
--- a/crates/geraniumgauge/src/follow/held.rs
+++ b/crates/geraniumgauge/src/follow/held.rs
@@ -48,7 +48,9 @@
             return false;
         }
         let items = snapshot.items.iter();
-        self.objects = items.map(|item| (item.name.clone(), item.revision)).collect();
+        self.objects = items
+            .map(|item| (item.name.clone(), item.revision))
+            .collect();
         self.digest = Digest::of(&snapshot.items);
         self.at = Some(snapshot.revision);
         true
@@ -62,7 +64,10 @@
         revision: ids::Revision,
     ) -> Vec<follow::Change<T>> {
         self.at = self.at.max(Some(revision));
-        changes.into_iter().filter(|change| self.apply(change)).collect()
+        changes
+            .into_iter()
+            .filter(|change| self.apply(change))
+            .collect()
     }
 
     fn apply<T>(&mut self, change: &follow::Change<T>) -> bool {
--- a/crates/geraniumgauge/src/follow/watch.rs
+++ b/crates/geraniumgauge/src/follow/watch.rs
@@ -153,10 +153,7 @@
 }
 
 /// Ends once a sighting has shown for a while what isn't held.
-async fn missed(
-    sightings: &mut watch::Receiver<Option<follow::Sighting>>,
-    held: &follow::Shared,
-) {
+async fn missed(sightings: &mut watch::Receiver<Option<follow::Sighting>>, held: &follow::Shared) {
     loop {
         let seen = *sightings.borrow_and_update();
         if seen.is_some_and(|seen| seen.shows_more_than(&held.borrow())) {
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -92,15 +92,18 @@
 
     /// Lets go of what was kept for routes that `table` doesn't name.
     pub fn keep_routes(&mut self, table: &route::Table) {
-        let names: collections::HashSet<&str> =
-            table.entries().map(|entry| entry.route.name.as_str()).collect();
+        let names: collections::HashSet<&str> = table
+            .entries()
+            .map(|entry| entry.route.name.as_str())
+            .collect();
         self.times.retain(|name, _| names.contains(name.as_str()));
     }
 
     /// The standing of an upstream.
     pub fn standing(&mut self, upstream: registry::Handle) -> &mut forward::Standing {
         if self.standings.len() <= upstream.index() {
-            self.standings.resize_with(self.registry.handles(), Default::default);
+            self.standings
+                .resize_with(self.registry.handles(), Default::default);
         }
         &mut self.standings[upstream.index()]
     }
@@ -125,7 +128,8 @@
 
     /// Whether any upstream of `service` can be tried.
     pub fn has_upstream(&mut self, service: &ids::Service, now: clock::Moment) -> bool {
-        self.choose(service, &[], time::Duration::ZERO, now).is_some()
+        self.choose(service, &[], time::Duration::ZERO, now)
+            .is_some()
     }
 
     /// The best upstream of `service` that isn't among `tried`, for a call that
@@ -138,7 +142,8 @@
         now: clock::Moment,
     ) -> Option<registry::Handle> {
         if self.standings.len() < self.registry.handles() {
-            self.standings.resize_with(self.registry.handles(), Default::default);
+            self.standings
+                .resize_with(self.registry.handles(), Default::default);
         }
         let mut best: Option<(time::Duration, registry::Handle)> = None;
         let handles = self.registry.of(service);
@@ -191,8 +196,7 @@
     pub fn is_first_choice(&self, upstream: registry::Handle) -> bool {
         let near = |handle: registry::Handle| {
             let entry = &self.registry.get(handle).entry;
-            entry.state == registry::State::Ready
-                && entry.data_centre == self.own.data_centre
+            entry.state == registry::State::Ready && entry.data_centre == self.own.data_centre
         };
         let entry = &self.registry.get(upstream).entry;
         let ready = entry.state == registry::State::Ready;
--- a/crates/geraniumgauge/src/forward/job.rs
+++ b/crates/geraniumgauge/src/forward/job.rs
@@ -52,14 +52,21 @@
         let route = &request.entry.route;
         let times = fleet.times(route);
         let policy = &fleet.policy;
-        let wait = request.time_left.unwrap_or(route.timeout).min(route.timeout);
+        let wait = request
+            .time_left
+            .unwrap_or(route.timeout)
+            .min(route.timeout);
         // A tenth of a short wait is left for the way back.
         let margin = policy.deadline_margin.min(wait / 10);
         let hedge_after = Self::late_after(route.aim, times.median(), policy);
         let services: Vec<ids::Service> = match &route.target {
             route::Target::One(split) => {
                 let place = request.entry.split.borrow_mut().deal();
-                split.get(place).map(|part| part.service.clone()).into_iter().collect()
+                split
+                    .get(place)
+                    .map(|part| part.service.clone())
+                    .into_iter()
+                    .collect()
             }
             route::Target::Shards(shards) => shards.services.clone(),
         };
@@ -468,7 +475,10 @@
             part::State::Done(reply) => Some(reply),
             _ => None,
         });
-        let signatures = done.clone().filter_map(|reply| reply.signature.clone()).collect();
+        let signatures = done
+            .clone()
+            .filter_map(|reply| reply.signature.clone())
+            .collect();
         let records = forward::top(done.map(|reply| reply.body.as_ref()), shards.top);
         let merged = forward::Merged {
             signatures,
@@ -490,7 +500,9 @@
             part::State::Failed(reason) => Some(reason),
             _ => None,
         });
-        let full = reasons.clone().any(|reason| reason == forward::Reason::NoRoom);
+        let full = reasons
+            .clone()
+            .any(|reason| reason == forward::Reason::NoRoom);
         let reason = match (self.is_sharded(), reasons.last()) {
             (false, Some(reason)) => reason,
             _ if full => forward::Reason::NoRoom,
--- a/crates/geraniumgauge/src/forward/relay.rs
+++ b/crates/geraniumgauge/src/forward/relay.rs
@@ -50,7 +50,9 @@
 
 impl Known {
     fn answers(&self, now: clock::Moment) -> bool {
-        let silent = self.waiting_since.is_some_and(|since| now.since(since) >= SILENT);
+        let silent = self
+            .waiting_since
+            .is_some_and(|since| now.since(since) >= SILENT);
         self.connected && !silent
     }
 }
@@ -80,7 +82,9 @@
     pub fn set(&mut self, helpers: Vec<Helper>) {
         let before = std::mem::take(&mut self.known);
         let known = |helper: Helper| {
-            let same = before.iter().find(|known| known.helper.address == helper.address);
+            let same = before
+                .iter()
+                .find(|known| known.helper.address == helper.address);
             Known {
                 connected: same.is_some_and(|known| known.connected),
                 waiting_since: same.and_then(|known| known.waiting_since),
@@ -154,7 +158,10 @@
     /// larger ones make those of the smaller ones.
     pub fn connections(&self, data_centre: &ids::DataCentre, limit: u32, vms: usize) -> f64 {
         let limit = f64::from(limit);
-        let beside = self.known.iter().filter(|known| known.helper.data_centre == self.own);
+        let beside = self
+            .known
+            .iter()
+            .filter(|known| known.helper.data_centre == self.own);
         let smaller = |known: &&Known| known.helper.power * LARGER <= self.power;
         let (smaller, equal): (Vec<_>, Vec<_>) = beside.partition(smaller);
         let beside = smaller.len() + equal.len() + 1;
@@ -169,7 +176,9 @@
     }
 
     fn find(&mut self, address: net::SocketAddr) -> Option<&mut Known> {
-        self.known.iter_mut().find(|known| known.helper.address == address)
+        self.known
+            .iter_mut()
+            .find(|known| known.helper.address == address)
     }
 
     /// Whether a search's calls take this VM too long.
@@ -178,7 +187,10 @@
     }
 
     fn suits(&self, helper: &Helper) -> bool {
-        let beside = self.known.iter().filter(|known| known.helper.data_centre == helper.data_centre);
+        let beside = self
+            .known
+            .iter()
+            .filter(|known| known.helper.data_centre == helper.data_centre);
         let most = beside.map(|known| known.helper.power).fold(0.0, f64::max);
         let powerful = helper.power >= POWERFUL * most;
         let near = helper.data_centre == self.own;
--- a/crates/geraniumgauge/src/forward/standing.rs
+++ b/crates/geraniumgauge/src/forward/standing.rs
@@ -169,7 +169,13 @@
     }
 
     /// The time that a call is expected to take which usually takes `usual`.
-    pub fn expect(&self, usual: time::Duration, slots: u32, cold: bool, now: clock::Moment) -> time::Duration {
+    pub fn expect(
+        &self,
+        usual: time::Duration,
+        slots: u32,
+        cold: bool,
+        now: clock::Moment,
+    ) -> time::Duration {
         let queued = f64::from((self.running + 1).saturating_sub(slots)) / f64::from(slots.max(1));
         let cold = if cold { COLD } else { 1.0 };
         usual.mul_f64(self.slowness(now).max(0.2) * cold * (1.0 + queued))
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/tests/mod.rs
@@ -0,0 +1,6 @@
+mod budget;
+mod job;
+mod merge;
+mod relay;
+mod standing;
+mod world;
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/tests/relay.rs
@@ -0,0 +1,128 @@
+use std::net;
+
+use crate::forward;
+use crate::time as clock;
+
+fn helper(number: u8, data_centre: &str, power: f64) -> forward::Helper {
+    forward::Helper {
+        address: address(number),
+        data_centre: data_centre.parse().expect("a name"),
+        power,
+    }
+}
+
+fn address(number: u8) -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, number], 1))
+}
+
+fn relays(power: f64, helpers: Vec<forward::Helper>) -> forward::Relays {
+    let mut relays = forward::Relays::new("a".parse().expect("a name"), power);
+    let addresses: Vec<_> = helpers.iter().map(|helper| helper.address).collect();
+    relays.set(helpers);
+    for address in addresses {
+        relays.connected(address);
+    }
+    relays
+}
+
+fn at(millis: u64) -> clock::Moment {
+    clock::Moment::from_millis(millis)
+}
+
+/// Story: eight equal VMs. Calls beside a VM cost it little, so it makes them
+/// itself; those elsewhere go to the VMs there by turns.
+#[test]
+fn equal_vms_help_across_data_centres_only() {
+    let fleet = vec![
+        helper(1, "a", 0.25),
+        helper(2, "b", 0.25),
+        helper(3, "b", 0.25),
+    ];
+    let mut relays = relays(0.25, fleet);
+    let own = "a".parse().expect("a name");
+    let other = "b".parse().expect("a name");
+    assert_eq!(relays.choose(&own, 30, at(0)), None);
+    let mut chosen = [
+        relays.choose(&other, 30, at(0)),
+        relays.choose(&other, 30, at(0)),
+    ];
+    chosen.sort();
+    assert_eq!(chosen, [Some(address(2)), Some(address(3))]);
+}
+
+/// Story: most VMs have an eighth of a core, two of each data centre have half
+/// a one. A wide search would take a small VM longer than its upstreams do.
+#[test]
+fn small_vms_hand_wide_searches_to_large_ones() {
+    let fleet = vec![
+        helper(1, "a", 0.5),
+        helper(2, "a", 0.12),
+        helper(3, "b", 0.12),
+        helper(4, "b", 0.5),
+    ];
+    let mut small = relays(0.12, fleet.clone());
+    let own = "a".parse().expect("a name");
+    let other = "b".parse().expect("a name");
+    assert_eq!(small.choose(&own, 90, at(0)), Some(address(1)));
+    assert_eq!(small.choose(&other, 90, at(0)), Some(address(4)));
+    assert_eq!(
+        small.choose(&own, 3, at(0)),
+        None,
+        "few calls it makes itself"
+    );
+    let mut large = relays(0.5, fleet);
+    assert_eq!(large.choose(&own, 90, at(0)), None);
+}
+
+/// Story: a VM that others ask freezes. Each search sent to it would lose its
+/// first calls until the connection fails, a second later.
+#[test]
+fn a_silent_vm_gets_no_more_calls_until_it_answers() {
+    let mut relays = relays(0.25, vec![helper(2, "b", 0.25)]);
+    let other = "b".parse().expect("a name");
+    relays.asked(address(2), at(0));
+    assert!(relays.choose(&other, 30, at(50)).is_some());
+    assert_eq!(relays.choose(&other, 30, at(100)), None);
+    relays.told(address(2));
+    assert!(relays.choose(&other, 30, at(200)).is_some());
+    relays.lost(address(2));
+    assert_eq!(relays.choose(&other, 30, at(200)), None);
+}
+
+/// However the fleet is made up, the VMs' connections to one upstream stay
+/// within its limit.
+#[test]
+fn connections_of_all_vms_stay_within_the_limit() {
+    for (fleet, limit) in [
+        (vec![("a", 0.25, 3), ("b", 0.25, 3), ("c", 0.25, 2)], 26),
+        (
+            vec![
+                ("a", 0.5, 2),
+                ("a", 0.12, 19),
+                ("b", 0.5, 2),
+                ("b", 0.12, 18),
+            ],
+            200,
+        ),
+    ] {
+        let mut all = Vec::new();
+        for (place, power, count) in fleet {
+            for _ in 0..count {
+                let number = u8::try_from(all.len() + 1).expect("a small fleet");
+                all.push(helper(number, place, power));
+            }
+        }
+        let upstream = "a".parse().expect("a name");
+        let sum: f64 = all
+            .iter()
+            .map(|own| {
+                let mut relays = forward::Relays::new(own.data_centre.clone(), own.power);
+                let others = all.iter().filter(|other| other.address != own.address);
+                relays.set(others.cloned().collect());
+                relays.connections(&upstream, limit, all.len())
+            })
+            .sum();
+        // Small VMs beside large ones may open one each on top, for late calls.
+        assert!(sum <= f64::from(limit) * 1.5, "{sum} of {limit}");
+    }
+}
--- a/crates/geraniumgauge/src/forward/times.rs
+++ b/crates/geraniumgauge/src/forward/times.rs
@@ -42,7 +42,8 @@
             median.mul_f64(1.0 - STEP)
         };
         let aim = self.aim.get();
-        self.median.set(moved.clamp(aim.mul_f64(LEAST), aim.mul_f64(MOST)));
+        self.median
+            .set(moved.clamp(aim.mul_f64(LEAST), aim.mul_f64(MOST)));
     }
 
     /// The median.
--- a/crates/geraniumgauge/src/h1/body.rs
+++ b/crates/geraniumgauge/src/h1/body.rs
@@ -75,7 +75,10 @@
     ///
     /// # Errors
     /// Where the chunks are malformed or the body is too large.
-    pub fn read(&mut self, source: &mut bytes::BytesMut) -> Result<Option<bytes::Bytes>, h1::Error> {
+    pub fn read(
+        &mut self,
+        source: &mut bytes::BytesMut,
+    ) -> Result<Option<bytes::Bytes>, h1::Error> {
         match self.ends {
             Ends::After(len) => Ok(Self::sized_part(len, source)),
             Ends::Chunks(_) => self.chunks(source),
--- a/crates/geraniumgauge/src/h1/exchange.rs
+++ b/crates/geraniumgauge/src/h1/exchange.rs
@@ -74,11 +74,7 @@
         }
     }
 
-    async fn once(
-        &mut self,
-        request: &[u8],
-        wait: time::Duration,
-    ) -> Result<h1::Reply, Failure> {
+    async fn once(&mut self, request: &[u8], wait: time::Duration) -> Result<h1::Reply, Failure> {
         // Taken out, so that a call that is dropped half way drops it too.
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
--- a/crates/geraniumgauge/src/h1/reply.rs
+++ b/crates/geraniumgauge/src/h1/reply.rs
@@ -131,11 +131,7 @@
         Ok(())
     }
 
-    fn body(
-        &self,
-        reply: &mut Reply,
-        framing: &head::Framing<'_>,
-    ) -> Result<h1::Body, h1::Error> {
+    fn body(&self, reply: &mut Reply, framing: &head::Framing<'_>) -> Result<h1::Body, h1::Error> {
         let none = self.head_only || reply.status < 200 || matches!(reply.status, 204 | 304);
         if none {
             return h1::Body::sized(0, self.limit);
@@ -175,7 +171,10 @@
             let Some(body) = body.read(source)? else {
                 return Ok(None);
             };
-            let whole = self.reading.take().map(|(reply, _)| Reply { body, ..reply });
+            let whole = self
+                .reading
+                .take()
+                .map(|(reply, _)| Reply { body, ..reply });
             // Interim replies announce the one that counts.
             if whole.as_ref().is_some_and(|reply| reply.status >= 200) {
                 return Ok(whole);
--- a/crates/geraniumgauge/src/h1/tests.rs
+++ b/crates/geraniumgauge/src/h1/tests.rs
@@ -27,8 +27,14 @@
         Content-Length: 3\r\n\r\nabc";
     let request = one(text).expect("well formed").expect("whole");
     assert_eq!(request.body.as_ref(), b"abc");
-    assert_eq!((request.host.as_str(), request.id.as_str()), ("one.example", "r1"));
-    assert_eq!(request.time_left, Some(std::time::Duration::from_millis(250)));
+    assert_eq!(
+        (request.host.as_str(), request.id.as_str()),
+        ("one.example", "r1")
+    );
+    assert_eq!(
+        request.time_left,
+        Some(std::time::Duration::from_millis(250))
+    );
     assert!(request.close);
     let head = String::from_utf8(request.head).expect("text");
     let due = "POST /a?b HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r1\r\nX-Other: 2\r\n";
@@ -58,7 +64,10 @@
     assert!(matches!(one(&long), Err(Error::HeadTooLarge(_))));
     let body = "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n";
     assert!(matches!(one(body), Err(Error::BodyTooLarge(_))));
-    let chunk = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n{}", "x".repeat(65));
+    let chunk = format!(
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n{}",
+        "x".repeat(65)
+    );
     assert!(matches!(one(&chunk), Err(Error::BodyTooLarge(_))));
     let broken = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
     assert!(matches!(one(broken), Err(Error::Malformed(_))));
--- a/crates/geraniumgauge/src/logs/tests.rs
+++ b/crates/geraniumgauge/src/logs/tests.rs
@@ -22,7 +22,10 @@
 }
 
 /// An output that takes nothing until it is told to.
-struct Stuck(std::sync::mpsc::Receiver<()>, std::sync::mpsc::Sender<Vec<u8>>);
+struct Stuck(
+    std::sync::mpsc::Receiver<()>,
+    std::sync::mpsc::Sender<Vec<u8>>,
+);
 
 impl std::io::Write for Stuck {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
--- a/crates/geraniumgauge/src/registry/mod.rs
+++ b/crates/geraniumgauge/src/registry/mod.rs
@@ -151,8 +151,7 @@
             return vec![self.add(entry, now)];
         };
         let known = &mut self.upstreams[handle.index()];
-        let moved =
-            known.entry.address != entry.address || known.entry.service != entry.service;
+        let moved = known.entry.address != entry.address || known.entry.service != entry.service;
         if known.entry.born != entry.born || moved {
             known.gone = true;
             return vec![Change::Gone(handle), self.add(entry, now)];
--- a/crates/geraniumgauge/src/registry/tests.rs
+++ b/crates/geraniumgauge/src/registry/tests.rs
@@ -58,7 +58,10 @@
     let mut registry = Registry::default();
     registry.put(entry(0, 1, State::Ready), at(0));
     let changes = registry.put(entry(0, 2, State::Ready), at(10));
-    assert_eq!(changes, vec![Change::Gone(Handle(0)), Change::Came(Handle(1))]);
+    assert_eq!(
+        changes,
+        vec![Change::Gone(Handle(0)), Change::Came(Handle(1))]
+    );
     assert_eq!(registry.get(Handle(0)).usable(at(10)), Use::Never);
     let service = "s0".parse().expect("a name");
     assert_eq!(registry.of(&service), &[Handle(1)]);
