--- a/crates/geraniumgauge/src/edge/call.rs
+++ b/crates/geraniumgauge/src/edge/call.rs
@@ -7,6 +7,7 @@
 use crate::edge::pool;
 use crate::forward;
 use crate::h1;
+use crate::ids;
 use crate::registry;
 use crate::time as clock;
 
@@ -54,6 +55,12 @@
         out.extend_from_slice(&self.body);
     }
 
+    /// What makes the request the same when its caller sends it again.
+    pub(super) fn fingerprint(&self) -> ids::Fingerprint {
+        let line = self.head.split(|byte| *byte == b'\r').next();
+        ids::Fingerprint::of_request(line.unwrap_or_default(), &self.body)
+    }
+
     /// What a reply to the call means.
     pub(super) fn verdict(&self, reply: h1::Reply) -> forward::Verdict {
         let success = (200..300).contains(&reply.status);
--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -14,6 +14,7 @@
 use crate::edge::state;
 use crate::forward;
 use crate::h1;
+use crate::ids;
 use crate::registry;
 use crate::route;
 use crate::time as clock;
@@ -42,6 +43,7 @@
     count: edge::Count,
     /// Other VMs to which a connection is kept.
     peers: rc::Rc<cell::RefCell<collections::HashSet<net::SocketAddr>>>,
+    blames: rc::Rc<cell::RefCell<Option<sync::mpsc::UnboundedReceiver<ids::Fingerprint>>>>,
 }
 
 impl Engine {
@@ -53,7 +55,8 @@
         clock: clock::Clock,
         count: edge::Count,
     ) -> Self {
-        let state = state::State::new(fleet, relays, names, count.clone());
+        let (blamed, blames) = sync::mpsc::unbounded_channel();
+        let state = state::State::new(fleet, relays, names, count.clone(), blamed);
         Self {
             state: rc::Rc::new(cell::RefCell::new(state)),
             phase: rc::Rc::new(watch::Sender::new(Phase::Starting)),
@@ -61,6 +64,23 @@
             names,
             count,
             peers: rc::Rc::default(),
+            blames: rc::Rc::new(cell::RefCell::new(Some(blames))),
+        }
+    }
+
+    /// The requests that this VM blames for crashes, for the other VMs to be
+    /// told; `None` where they were taken before.
+    pub fn blames(&self) -> Option<sync::mpsc::UnboundedReceiver<ids::Fingerprint>> {
+        self.blames.borrow_mut().take()
+    }
+
+    /// Another VM blames a request for a crash.
+    pub fn blame(&self, request: ids::Fingerprint) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if state.fleet.blame.blame(request, now) {
+            let refused = state.fleet.blame.is_quarantined(request, now);
+            log::warn!(fingerprint:% = request, refused = refused; "another VM blames a request");
         }
     }
 
@@ -130,7 +150,7 @@
     }
 
     /// The version in force.
-    pub fn version(&self) -> Option<crate::ids::Generation> {
+    pub fn version(&self) -> Option<ids::Generation> {
         let state = self.state.borrow();
         state.table.as_ref().map(|table| table.version())
     }
@@ -182,6 +202,11 @@
         self.state.borrow().running()
     }
 
+    /// Calls that this VM made for others.
+    pub fn calls_for_others(&self) -> u64 {
+        self.state.borrow().calls_for_others()
+    }
+
     /// Upstreams registered.
     pub fn known(&self) -> usize {
         self.state.borrow().fleet.registry.len()
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -149,6 +149,7 @@
             "upstream can't be connected to"
         );
         self.fleet.standing(known.upstream).unreachable(now);
+        self.blame(known.upstream, now);
         let pool = self.pool(known.upstream);
         pool.links -= 1;
         pool.opening -= 1;
@@ -156,6 +157,20 @@
         self.settle(now);
     }
 
+    /// Blames the requests under which an upstream that is gone was lost.
+    fn blame(&mut self, upstream: registry::Handle, now: clock::Moment) {
+        for request in self.fleet.blame.unreachable(upstream, now) {
+            let id = &self.fleet.registry.get(upstream).entry.id;
+            let refused = self.fleet.blame.is_quarantined(request, now);
+            log::warn!(
+                fingerprint:% = request, upstream = id.as_str(), refused = refused;
+                "upstream crashed under a request"
+            );
+            // Whoever took the receiver stops with the process.
+            let _ = self.blamed.send(request);
+        }
+    }
+
     /// Ends the calls that wait for a connection to an upstream: nothing of
     /// them was sent.
     fn refuse_waiting(&mut self, upstream: registry::Handle, now: clock::Moment) {
@@ -247,12 +262,21 @@
         let Some(known) = self.links.get(&link) else {
             return;
         };
-        if let Some(id) = known.call {
+        let (upstream, call) = (known.upstream, known.call);
+        if let Some(id) = call {
             let request = self.calls.get(&id).map(|call| call.message.id.as_str());
             log::info!(request = request, error = error; "connection ended under a call");
+            if let Some(call) = self.calls.get(&id) {
+                let request = call.message.fingerprint();
+                self.fleet.blame.lost(call.upstream, request, now);
+            }
             self.end(id, forward::Verdict::Lost, now);
         }
         self.close(link);
+        if call.is_some() && self.fleet.registry.get(upstream).usable(now) != registry::Use::Never {
+            // A new connection shows whether the upstream went with this one.
+            self.open(upstream);
+        }
         self.settle(now);
     }
 
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -76,6 +76,8 @@
     links: collections::HashMap<pool::Link, links::Link>,
     pools: Vec<pool::Pool>,
     peers: relay::Peers,
+    /// Takes the requests that the other VMs are to be told of.
+    blamed: sync::mpsc::UnboundedSender<ids::Fingerprint>,
     orphans: collections::VecDeque<(clock::Moment, ids::Attempt)>,
     ended: collections::VecDeque<Ended>,
     next: u64,
@@ -88,9 +90,11 @@
         relays: forward::Relays,
         names: h1::Names,
         count: edge::Count,
+        blamed: sync::mpsc::UnboundedSender<ids::Fingerprint>,
     ) -> Self {
         Self {
             fleet,
+            blamed,
             relays,
             table: None,
             listed: false,
@@ -140,7 +144,11 @@
             deadline: job.deadline(),
         });
         let mut actions = Vec::new();
-        job.start(&mut self.fleet, now, &mut actions);
+        if self.is_quarantined(&message, now) {
+            job.quarantine(&mut actions);
+        } else {
+            job.start(&mut self.fleet, now, &mut actions);
+        }
         let id = self.next();
         let running = Running {
             job,
@@ -155,6 +163,11 @@
         id
     }
 
+    fn is_quarantined(&self, message: &call::Message, now: clock::Moment) -> bool {
+        // Hashing each request only pays while any is blamed.
+        !self.fleet.blame.is_empty() && self.fleet.blame.is_quarantined(message.fingerprint(), now)
+    }
+
     /// The outcome of a request, once it has one; it is over then.
     pub(super) fn take(
         &mut self,
@@ -233,6 +246,10 @@
                 continue;
             };
             let took = ended.at.since(call.began);
+            let good = matches!(ended.verdict, forward::Verdict::Good(_));
+            if good && !self.fleet.blame.is_empty() {
+                self.fleet.blame.clear(call.message.fingerprint());
+            }
             self.count.ended(kind(&ended.verdict), took);
             match call.owner {
                 call::Owner::Ask { ask, remote } => {
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -28,6 +28,8 @@
     /// Connections that others opened.
     incoming: collections::HashMap<u64, sender::Sender>,
     asks: collections::HashMap<u64, Ask>,
+    /// Calls made for others since the start.
+    made: u64,
 }
 
 impl Peers {
@@ -190,6 +192,11 @@
         }
     }
 
+    /// Calls that this VM made for others.
+    pub(in crate::edge) fn calls_for_others(&self) -> u64 {
+        self.peers.made
+    }
+
     /// A connection to another VM is open.
     pub(in crate::edge) fn peer_up(&mut self, address: net::SocketAddr, sender: sender::Sender) {
         self.peers.outgoing.insert(address, sender);
@@ -362,6 +369,7 @@
             );
             return;
         };
+        self.peers.made += 1;
         self.fleet.standing(upstream).start();
         let owner = call::Owner::Ask {
             ask,
--- a/crates/geraniumgauge/src/follow/beacon.rs
+++ b/crates/geraniumgauge/src/follow/beacon.rs
@@ -1,8 +1,10 @@
-//! Sightings between VMs: one datagram each.
+//! Short news between VMs, a datagram each: sightings of the store, and requests
+//! that crash upstreams.
 
 use std::io;
 use std::net;
 use std::rc;
+use std::time;
 
 use prost::Message as _;
 use tokio::sync::watch;
@@ -13,6 +15,9 @@
 /// Room for a datagram; a sighting takes some thirty bytes.
 const BUFFER: usize = 512;
 
+/// Pause before a datagram is sent again.
+const AGAIN: time::Duration = time::Duration::from_millis(100);
+
 /// A sighting on the wire.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
@@ -26,6 +31,9 @@
     /// The digest of the registrations.
     #[prost(fixed64, tag = "3")]
     registrations: u64,
+    /// A request that crashed an upstream, in the place of a sighting.
+    #[prost(fixed64, optional, tag = "4")]
+    blamed: Option<u64>,
 }
 
 /// Sends and receives sightings. A datagram that is lost costs its receiver
@@ -62,20 +70,43 @@
             revision: sighting.revision.0,
             config: sighting.config.0,
             registrations: sighting.registrations.0,
+            blamed: None,
         };
+        self.send_frame(&frame, peers);
+    }
+
+    /// Tells `peers` of a request that crashed an upstream, twice: a datagram
+    /// may be lost, and each VM that doesn't know costs another upstream.
+    pub async fn blame(&self, request: ids::Fingerprint, peers: &[net::SocketAddr]) {
+        let frame = Frame {
+            revision: 0,
+            config: 0,
+            registrations: 0,
+            blamed: Some(request.0),
+        };
+        self.send_frame(&frame, peers);
+        tokio::time::sleep(AGAIN).await;
+        self.send_frame(&frame, peers);
+    }
+
+    fn send_frame(&self, frame: &Frame, peers: &[net::SocketAddr]) {
         let bytes = frame.encode_to_vec();
         let mut failed = 0;
         for peer in peers {
             failed += u32::from(self.socket.try_send_to(&bytes, *peer).is_err());
         }
         if failed > 0 {
-            log::info!(peers = peers.len(), failed = failed; "sighting not sent to every VM");
+            log::info!(peers = peers.len(), failed = failed; "datagram not sent to every VM");
         }
     }
 
     /// Receives sightings; never ends. An older one than the last changes
     /// nothing: datagrams may overtake each other.
-    pub async fn receive(self, sightings: watch::Sender<Option<follow::Sighting>>) {
+    pub async fn receive(
+        self,
+        sightings: watch::Sender<Option<follow::Sighting>>,
+        blame: impl Fn(ids::Fingerprint),
+    ) {
         let mut buffer = [0; BUFFER];
         loop {
             let (count, peer) = match self.socket.recv_from(&mut buffer).await {
@@ -93,6 +124,10 @@
                     continue;
                 }
             };
+            if let Some(request) = frame.blamed {
+                blame(ids::Fingerprint(request));
+                continue;
+            }
             let sighting = follow::Sighting {
                 revision: ids::Revision(frame.revision),
                 config: ids::Revision(frame.config),
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -41,6 +41,10 @@
     pub registry: registry::Registry,
     /// How requests are run.
     pub policy: forward::Policy,
+    /// Requests that crash upstreams.
+    pub blame: forward::Blame,
+    /// How late this process acts on its timers.
+    pub lag: forward::Lag,
     own: Own,
     standings: Vec<forward::Standing>,
     budgets: collections::HashMap<ids::Service, forward::Budget>,
@@ -55,6 +59,8 @@
         Self {
             registry: registry::Registry::default(),
             policy,
+            blame: forward::Blame::default(),
+            lag: forward::Lag::default(),
             own,
             standings: Vec::new(),
             budgets: collections::HashMap::new(),
--- a/crates/geraniumgauge/src/forward/job.rs
+++ b/crates/geraniumgauge/src/forward/job.rs
@@ -15,6 +15,9 @@
 /// Pause told to callers where upstreams have no room: some queue has drained
 /// by then, and callers that were refused together return apart.
 const NO_ROOM_PAUSE: time::Duration = time::Duration::from_millis(40);
+/// Pause told to callers of a request that crashes upstreams: as long as it
+/// stays refused, at least.
+const QUARANTINE_PAUSE: time::Duration = time::Duration::from_secs(30);
 
 /// What a job starts from.
 #[derive(Debug, Clone)]
@@ -58,6 +61,7 @@
             .min(route.timeout);
         // A tenth of a short wait is left for the way back.
         let margin = policy.deadline_margin.min(wait / 10);
+        let margin_of_aim = policy.answer_margin + fleet.lag.get();
         let hedge_after = Self::late_after(route.aim, times.median(), policy);
         let services: Vec<ids::Service> = match &route.target {
             route::Target::One(split) => {
@@ -76,7 +80,7 @@
             open: 0,
             done: 0,
             began: request.began,
-            answer_at: request.began + route.aim.saturating_sub(policy.answer_margin),
+            answer_at: request.began + route.aim.saturating_sub(margin_of_aim),
             deadline: request.began + wait.saturating_sub(margin),
             hedge_after,
             next_hedge: None,
@@ -146,6 +150,12 @@
         self.settle(actions);
     }
 
+    /// Refuses the request, in the place of [`Self::start`]: it crashes the
+    /// upstreams that run it.
+    pub fn quarantine(&mut self, actions: &mut Vec<forward::Action>) {
+        self.refuse(forward::Reason::Quarantined, QUARANTINE_PAUSE, actions);
+    }
+
     /// A call was answered, or is known to get no answer.
     pub fn ended(
         &mut self,
@@ -202,6 +212,7 @@
         if self.finished {
             return;
         }
+        fleet.lag.add(now.since(self.wake_at()));
         if now >= self.deadline {
             return self.time_over(actions);
         }
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -5,21 +5,25 @@
 //! [`Fleet`] holds what all jobs of a VM share: which upstreams there are, how
 //! they did lately, and what may be spent on extra calls. No I/O.
 
+mod blame;
 mod budget;
 mod fleet;
 mod job;
+mod lag;
 mod merge;
 mod part;
 mod relay;
 mod standing;
 mod times;
 
+pub use blame::Blame;
 pub use budget::Budget;
 pub use fleet::Fleet;
 pub use fleet::Orphan;
 pub use fleet::Own;
 pub use job::Job;
 pub use job::Request;
+pub use lag::Lag;
 pub use merge::RECORD;
 pub use merge::top;
 pub use relay::Helper;
@@ -61,7 +65,7 @@
     fn default() -> Self {
         Self {
             hedge_at: rate::Share::percent(30),
-            answer_margin: time::Duration::from_millis(10),
+            answer_margin: time::Duration::from_millis(12),
             deadline_margin: time::Duration::from_millis(20),
             far_penalty: time::Duration::from_millis(6),
             extra_share: rate::Share::percent(20),
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/tests/blame.rs
@@ -0,0 +1,59 @@
+use crate::forward;
+use crate::ids;
+use crate::registry;
+use crate::time as clock;
+
+const BAD: ids::Fingerprint = ids::Fingerprint(7);
+
+fn at(millis: u64) -> clock::Moment {
+    clock::Moment::from_millis(millis)
+}
+
+/// Story: a request crashes each upstream that runs it, and its caller sends it
+/// again and again. After the second crash it is refused everywhere.
+#[test]
+fn a_request_that_crashed_upstreams_twice_is_refused() {
+    let mut blame = forward::Blame::default();
+    for (round, upstream) in [(1, 1), (2, 2)] {
+        assert!(!blame.is_quarantined(BAD, at(round * 2000)));
+        blame.lost(registry::Handle(upstream), BAD, at(round * 2000));
+        let told = blame.unreachable(registry::Handle(upstream), at(round * 2000 + 300));
+        assert_eq!(told, vec![BAD]);
+    }
+    assert!(blame.is_quarantined(BAD, at(4400)));
+    assert!(!blame.is_quarantined(BAD, at(70_000)), "not for ever");
+}
+
+/// Story: a rack loses power under a search that ran on five upstreams there.
+/// The search is innocent; so are requests whose connection alone was lost.
+#[test]
+fn a_rack_that_fails_and_lost_answers_blame_nobody() {
+    let mut blame = forward::Blame::default();
+    for upstream in 0..5 {
+        blame.lost(registry::Handle(upstream), BAD, at(1000));
+    }
+    for upstream in 0..5 {
+        blame.unreachable(registry::Handle(upstream), at(1200));
+    }
+    assert!(!blame.is_quarantined(BAD, at(1300)));
+    for round in 10..20 {
+        blame.lost(registry::Handle(9), BAD, at(round * 1000));
+    }
+    assert!(!blame.is_quarantined(BAD, at(20_000)));
+    assert!(
+        blame
+            .unreachable(registry::Handle(9), at(30_000))
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_run_that_completes_clears_a_request() {
+    let mut blame = forward::Blame::default();
+    assert!(blame.blame(BAD, at(1000)));
+    blame.clear(BAD);
+    assert!(blame.blame(BAD, at(5000)));
+    assert!(!blame.is_quarantined(BAD, at(5001)));
+    assert!(blame.blame(BAD, at(9000)));
+    assert!(blame.is_quarantined(BAD, at(9001)));
+}
--- a/crates/geraniumgauge/src/forward/tests/mod.rs
+++ b/crates/geraniumgauge/src/forward/tests/mod.rs
@@ -1,3 +1,4 @@
+mod blame;
 mod budget;
 mod job;
 mod merge;
--- a/crates/geraniumgauge/src/ids.rs
+++ b/crates/geraniumgauge/src/ids.rs
@@ -204,6 +204,12 @@
         let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
         Self(xxhash_rust::xxh3::xxh3_64_with_seed(body, seed))
     }
+
+    /// Hashes a request that is passed on as it came: its first line and body.
+    pub fn of_request(line: &[u8], body: &[u8]) -> Self {
+        let seed = xxhash_rust::xxh3::xxh3_64(line);
+        Self(xxhash_rust::xxh3::xxh3_64_with_seed(body, seed))
+    }
 }
 
 #[cfg(test)]
