--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -190,6 +190,9 @@
             }
             later
         });
+        if phase == Phase::Leaving {
+            self.with(|state, _| state.decline());
+        }
     }
 
     /// Follows the phases.
--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub(super) struct Frame {
-    #[prost(oneof = "Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4")]
     pub(super) kind: Option<Kind>,
 }
 
@@ -36,8 +36,15 @@
     Leave(Leave),
     #[prost(message, tag = "3")]
     Told(Told),
+    #[prost(message, tag = "4")]
+    Bye(Bye),
 }
 
+/// The VM takes no more calls.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(prost::Message)]
+pub(super) struct Bye {}
+
 /// Make these calls.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -31,6 +31,7 @@
                     frame::Kind::Told(told) => {
                         engine.with(|state, now| state.told(address, told, now));
                     }
+                    frame::Kind::Bye(_) => engine.with(|state, _| state.declined(address)),
                     frame::Kind::Ask(_) | frame::Kind::Leave(_) => {
                         log::warn!(vm:% = address; "unexpected message of a VM");
                     }
@@ -88,7 +89,9 @@
         frame::Kind::Leave(leave) => {
             engine.with(|state, now| state.left(peer, &leave.calls, now));
         }
-        frame::Kind::Told(_) => log::warn!(peer = peer; "unexpected message of a VM"),
+        frame::Kind::Told(_) | frame::Kind::Bye(_) => {
+            log::warn!(peer = peer; "unexpected message of a VM")
+        }
     })
     .await;
     log::info!(peer = peer, error:% = error; "connection of a VM ended");
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod links;
 mod relay;
+mod serve;
 
 use std::cell;
 use std::collections;
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -1,18 +1,17 @@
-//! Calls that VMs make for each other.
+//! Calls that other VMs make for this one.
 
 use std::collections;
 use std::net;
-use std::rc;
 use std::time;
 
 use crate::edge::call;
 use crate::edge::frame;
 use crate::edge::sender;
 use crate::edge::state;
+use crate::edge::state::serve;
 use crate::forward;
 use crate::h1;
 use crate::ids;
-use crate::registry;
 use crate::time as clock;
 
 /// Time that a frame of merged replies has to arrive before the calls that it
@@ -25,12 +24,14 @@
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     /// Connections that this VM opened, by address.
-    outgoing: collections::HashMap<net::SocketAddr, sender::Sender>,
+    pub(super) outgoing: collections::HashMap<net::SocketAddr, sender::Sender>,
     /// Connections that others opened.
-    incoming: collections::HashMap<u64, sender::Sender>,
-    asks: collections::HashMap<u64, Ask>,
+    pub(super) incoming: collections::HashMap<u64, sender::Sender>,
+    pub(super) asks: collections::HashMap<u64, serve::Ask>,
     /// Calls made for others since the start.
-    made: u64,
+    pub(super) made: u64,
+    /// Whether this VM takes no more calls of others.
+    pub(super) leaving: bool,
 }
 
 impl Peers {
@@ -40,21 +41,6 @@
     }
 }
 
-/// What another VM asked for.
-#[derive(Debug)]
-struct Ask {
-    /// The connection that it came over.
-    peer: u64,
-    /// Records wanted of the merged replies.
-    top: usize,
-    /// Its calls under way, by the id they have at the other VM.
-    pending: collections::HashMap<u64, ids::Attempt>,
-    /// Good replies that wait to be merged.
-    good: Vec<(frame::End, bytes::Bytes)>,
-    /// Whether replies are told at once.
-    merged: bool,
-}
-
 /// Where calls of a search go, and whether they are its first ones.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Place {
@@ -229,6 +215,13 @@
         self.settle(now);
     }
 
+    /// Another VM takes no more calls: it is stopping. Those that it has, it
+    /// finishes.
+    pub(in crate::edge) fn declined(&mut self, address: net::SocketAddr) {
+        log::info!(vm:% = address; "VM takes no more calls");
+        self.relays.lost(address);
+    }
+
     /// Another VM tells how calls ended.
     pub(in crate::edge) fn told(
         &mut self,
@@ -311,214 +304,4 @@
         self.fleet.standing(upstream).end();
         true
     }
-
-    /// Another VM has connected; the connection's number.
-    pub(in crate::edge) fn peer_came(&mut self, sender: sender::Sender) -> u64 {
-        let peer = self.next();
-        self.peers.incoming.insert(peer, sender);
-        peer
-    }
-
-    /// A connection from another VM has ended: nobody waits for its calls.
-    pub(in crate::edge) fn peer_left(&mut self, peer: u64, now: clock::Moment) {
-        self.peers.incoming.remove(&peer);
-        let of_peer = self.peers.asks.iter().filter(|(_, ask)| ask.peer == peer);
-        let asks: Vec<u64> = of_peer.map(|(id, _)| *id).collect();
-        for ask in asks {
-            let Some(ask) = self.peers.asks.remove(&ask) else {
-                continue;
-            };
-            for call in ask.pending.into_values() {
-                self.orphan(call, now);
-            }
-        }
-        self.settle(now);
-    }
-
-    /// Another VM asks for calls.
-    pub(in crate::edge) fn asked(&mut self, peer: u64, ask: frame::Ask, now: clock::Moment) {
-        let message = rc::Rc::new(call::Message {
-            id: ask.request,
-            head: ask.head,
-            body: ask.body,
-            has_body: ask.has_body,
-            head_only: false,
-            sharded: true,
-            deadline: now + time::Duration::from_micros(ask.wait_us),
-        });
-        let id = self.next();
-        self.peers.asks.insert(
-            id,
-            Ask {
-                peer,
-                top: ask.top as usize,
-                pending: collections::HashMap::with_capacity(ask.calls.len()),
-                good: Vec::with_capacity(ask.calls.len()),
-                merged: ask.merge_us == 0,
-            },
-        );
-        for call in ask.calls {
-            self.call_for(id, &call, &message, now);
-        }
-        if ask.merge_us > 0 {
-            let at = now + time::Duration::from_micros(ask.merge_us);
-            self.orders.push(state::Order::Merge { ask: id, at });
-        }
-        self.settle(now);
-    }
-
-    fn call_for(
-        &mut self,
-        ask: u64,
-        wanted: &frame::Call,
-        message: &rc::Rc<call::Message>,
-        now: clock::Moment,
-    ) {
-        let id = self.fleet.next_call();
-        if let Some(asked) = self.peers.asks.get_mut(&ask) {
-            asked.pending.insert(wanted.id, id);
-        }
-        let own = self.fleet.own().data_centre.clone();
-        let registry = &mut self.fleet.registry;
-        let named = match wanted.upstream.parse() {
-            Ok(id) => registry.named(&id, wanted.address(), &own, now),
-            Err(_) => Err(registry::Unnamed::Unknown),
-        };
-        let upstream = match named {
-            Ok(upstream) => upstream,
-            Err(why) => {
-                log::info!(request = message.id.as_str(), upstream = wanted.upstream.as_str(), why:% = why; "call for another VM not made");
-                let how = match why {
-                    registry::Unnamed::Unknown => frame::How::Unknown,
-                    registry::Unnamed::Leaving => frame::How::NotSent,
-                };
-                self.tell_end(ask, frame::End::new(wanted.id, how));
-                return;
-            }
-        };
-        self.peers.made += 1;
-        self.fleet.standing(upstream).start();
-        let owner = call::Owner::Ask {
-            ask,
-            remote: wanted.id,
-        };
-        self.calls
-            .insert(id, call::Call::new(owner, upstream, message.clone(), now));
-        self.pool(upstream).waiting.push_back(id);
-        self.dispatch(upstream, now);
-    }
-
-    /// Another VM doesn't wait for these calls any more.
-    pub(in crate::edge) fn left(&mut self, peer: u64, calls: &[u64], now: clock::Moment) {
-        let mut left = Vec::new();
-        for ask in self.peers.asks.values_mut().filter(|ask| ask.peer == peer) {
-            left.extend(calls.iter().filter_map(|remote| ask.pending.remove(remote)));
-        }
-        self.peers
-            .asks
-            .retain(|_, ask| !ask.pending.is_empty() || !ask.good.is_empty());
-        for call in left {
-            self.orphan(call, now);
-        }
-        self.settle(now);
-    }
-
-    /// A call made for another VM has ended.
-    pub(super) fn ask_ended(
-        &mut self,
-        id: u64,
-        remote: u64,
-        verdict: forward::Verdict,
-        took: time::Duration,
-    ) {
-        let Some(ask) = self.peers.asks.get_mut(&id) else {
-            return;
-        };
-        ask.pending.remove(&remote);
-        let (how, reply) = match verdict {
-            forward::Verdict::Good(reply) => (frame::How::Good, Some(reply)),
-            forward::Verdict::Failure(_) => (frame::How::Failure, None),
-            forward::Verdict::NotRun { .. } => (frame::How::NotRun, None),
-            forward::Verdict::Misdirected => (frame::How::Misdirected, None),
-            forward::Verdict::NotSent => (frame::How::NotSent, None),
-            forward::Verdict::Lost => (frame::How::Lost, None),
-        };
-        let mut end = frame::End::new(remote, how);
-        end.took_us = clock::micros(took);
-        match reply {
-            Some(reply) => {
-                end.signature = reply.signature.unwrap_or_default();
-                ask.good.push((end, reply.body));
-                if ask.merged || ask.pending.is_empty() {
-                    self.tell_good(id);
-                }
-            }
-            None => self.tell_end(id, end),
-        }
-    }
-
-    /// Tells the end of a call without a good reply at once: whoever asked may
-    /// call another upstream.
-    fn tell_end(&mut self, id: u64, end: frame::End) {
-        let Some(ask) = self.peers.asks.get_mut(&id) else {
-            return;
-        };
-        ask.pending.remove(&end.id);
-        let peer = ask.peer;
-        let told = frame::Told {
-            ends: vec![end],
-            records: bytes::Bytes::new(),
-        };
-        self.tell(peer, told);
-        self.tell_good_if_last(id);
-    }
-
-    fn tell_good_if_last(&mut self, id: u64) {
-        let last = self
-            .peers
-            .asks
-            .get(&id)
-            .is_some_and(|ask| ask.pending.is_empty());
-        if last {
-            self.tell_good(id);
-        }
-    }
-
-    /// The time to merge what came has come.
-    pub(in crate::edge) fn merge(&mut self, id: u64) {
-        if let Some(ask) = self.peers.asks.get_mut(&id) {
-            ask.merged = true;
-            self.tell_good(id);
-        }
-    }
-
-    /// Tells the good replies that came, as one.
-    fn tell_good(&mut self, id: u64) {
-        let Some(ask) = self.peers.asks.get_mut(&id) else {
-            return;
-        };
-        let good = std::mem::take(&mut ask.good);
-        let (peer, top) = (ask.peer, ask.top);
-        if ask.pending.is_empty() {
-            self.peers.asks.remove(&id);
-        }
-        if good.is_empty() {
-            return;
-        }
-        let records = forward::top(good.iter().map(|(_, body)| body.as_ref()), top);
-        let told = frame::Told {
-            ends: good.into_iter().map(|(end, _)| end).collect(),
-            records: records.into(),
-        };
-        self.tell(peer, told);
-    }
-
-    fn tell(&mut self, peer: u64, told: frame::Told) {
-        let bytes = frame::Frame::bytes(frame::Kind::Told(told));
-        let sender = self.peers.incoming.get(&peer);
-        if sender.is_some_and(|sender| sender.send(&bytes).is_err()) {
-            // The connection's reader finds its end and lets go of its calls.
-            log::info!(peer = peer; "replies not sent to a VM");
-        }
-    }
 }
--- /dev/null
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -0,0 +1,258 @@
+//! Calls that this VM makes for others.
+
+use std::collections;
+use std::rc;
+use std::time;
+
+use crate::edge::call;
+use crate::edge::frame;
+use crate::edge::sender;
+use crate::edge::state;
+use crate::forward;
+use crate::ids;
+use crate::registry;
+use crate::time as clock;
+
+/// What another VM asked for.
+#[derive(Debug)]
+pub(super) struct Ask {
+    /// The connection that it came over.
+    peer: u64,
+    /// Records wanted of the merged replies.
+    top: usize,
+    /// Its calls under way, by the id they have at the other VM.
+    pending: collections::HashMap<u64, ids::Attempt>,
+    /// Good replies that wait to be merged.
+    good: Vec<(frame::End, bytes::Bytes)>,
+    /// Whether replies are told at once.
+    merged: bool,
+}
+
+impl state::State {
+    /// Another VM has connected; the connection's number.
+    pub(in crate::edge) fn peer_came(&mut self, sender: sender::Sender) -> u64 {
+        let peer = self.next();
+        if self.peers.leaving {
+            Self::say_bye(&sender);
+        }
+        self.peers.incoming.insert(peer, sender);
+        peer
+    }
+
+    /// Tells the other VMs to ask this one for no more calls: it is stopping.
+    pub(in crate::edge) fn decline(&mut self) {
+        self.peers.leaving = true;
+        for sender in self.peers.incoming.values() {
+            Self::say_bye(sender);
+        }
+    }
+
+    fn say_bye(sender: &sender::Sender) {
+        let bytes = frame::Frame::bytes(frame::Kind::Bye(frame::Bye {}));
+        // Where the connection has failed, the other VM has noticed as well.
+        let _ = sender.send(&bytes);
+    }
+
+    /// A connection from another VM has ended: nobody waits for its calls.
+    pub(in crate::edge) fn peer_left(&mut self, peer: u64, now: clock::Moment) {
+        self.peers.incoming.remove(&peer);
+        let of_peer = self.peers.asks.iter().filter(|(_, ask)| ask.peer == peer);
+        let asks: Vec<u64> = of_peer.map(|(id, _)| *id).collect();
+        for ask in asks {
+            let Some(ask) = self.peers.asks.remove(&ask) else {
+                continue;
+            };
+            for call in ask.pending.into_values() {
+                self.orphan(call, now);
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Another VM asks for calls.
+    pub(in crate::edge) fn asked(&mut self, peer: u64, ask: frame::Ask, now: clock::Moment) {
+        let message = rc::Rc::new(call::Message {
+            id: ask.request,
+            head: ask.head,
+            body: ask.body,
+            has_body: ask.has_body,
+            head_only: false,
+            sharded: true,
+            deadline: now + time::Duration::from_micros(ask.wait_us),
+        });
+        let id = self.next();
+        self.peers.asks.insert(
+            id,
+            Ask {
+                peer,
+                top: ask.top as usize,
+                pending: collections::HashMap::with_capacity(ask.calls.len()),
+                good: Vec::with_capacity(ask.calls.len()),
+                merged: ask.merge_us == 0,
+            },
+        );
+        for call in ask.calls {
+            self.call_for(id, &call, &message, now);
+        }
+        if ask.merge_us > 0 {
+            let at = now + time::Duration::from_micros(ask.merge_us);
+            self.orders.push(state::Order::Merge { ask: id, at });
+        }
+        self.settle(now);
+    }
+
+    fn call_for(
+        &mut self,
+        ask: u64,
+        wanted: &frame::Call,
+        message: &rc::Rc<call::Message>,
+        now: clock::Moment,
+    ) {
+        let id = self.fleet.next_call();
+        if let Some(asked) = self.peers.asks.get_mut(&ask) {
+            asked.pending.insert(wanted.id, id);
+        }
+        let own = self.fleet.own().data_centre.clone();
+        let registry = &mut self.fleet.registry;
+        let named = match wanted.upstream.parse() {
+            Ok(id) => registry.named(&id, wanted.address(), &own, now),
+            Err(_) => Err(registry::Unnamed::Unknown),
+        };
+        let upstream = match named {
+            Ok(upstream) => upstream,
+            Err(why) => {
+                log::info!(request = message.id.as_str(), upstream = wanted.upstream.as_str(), why:% = why; "call for another VM not made");
+                let how = match why {
+                    registry::Unnamed::Unknown => frame::How::Unknown,
+                    registry::Unnamed::Leaving => frame::How::NotSent,
+                };
+                self.tell_end(ask, frame::End::new(wanted.id, how));
+                return;
+            }
+        };
+        self.peers.made += 1;
+        self.fleet.standing(upstream).start();
+        let owner = call::Owner::Ask {
+            ask,
+            remote: wanted.id,
+        };
+        self.calls
+            .insert(id, call::Call::new(owner, upstream, message.clone(), now));
+        self.pool(upstream).waiting.push_back(id);
+        self.dispatch(upstream, now);
+    }
+
+    /// Another VM doesn't wait for these calls any more.
+    pub(in crate::edge) fn left(&mut self, peer: u64, calls: &[u64], now: clock::Moment) {
+        let mut left = Vec::new();
+        for ask in self.peers.asks.values_mut().filter(|ask| ask.peer == peer) {
+            left.extend(calls.iter().filter_map(|remote| ask.pending.remove(remote)));
+        }
+        self.peers
+            .asks
+            .retain(|_, ask| !ask.pending.is_empty() || !ask.good.is_empty());
+        for call in left {
+            self.orphan(call, now);
+        }
+        self.settle(now);
+    }
+
+    /// A call made for another VM has ended.
+    pub(super) fn ask_ended(
+        &mut self,
+        id: u64,
+        remote: u64,
+        verdict: forward::Verdict,
+        took: time::Duration,
+    ) {
+        let Some(ask) = self.peers.asks.get_mut(&id) else {
+            return;
+        };
+        ask.pending.remove(&remote);
+        let (how, reply) = match verdict {
+            forward::Verdict::Good(reply) => (frame::How::Good, Some(reply)),
+            forward::Verdict::Failure(_) => (frame::How::Failure, None),
+            forward::Verdict::NotRun { .. } => (frame::How::NotRun, None),
+            forward::Verdict::Misdirected => (frame::How::Misdirected, None),
+            forward::Verdict::NotSent => (frame::How::NotSent, None),
+            forward::Verdict::Lost => (frame::How::Lost, None),
+        };
+        let mut end = frame::End::new(remote, how);
+        end.took_us = clock::micros(took);
+        match reply {
+            Some(reply) => {
+                end.signature = reply.signature.unwrap_or_default();
+                ask.good.push((end, reply.body));
+                if ask.merged || ask.pending.is_empty() {
+                    self.tell_good(id);
+                }
+            }
+            None => self.tell_end(id, end),
+        }
+    }
+
+    /// Tells the end of a call without a good reply at once: whoever asked may
+    /// call another upstream.
+    fn tell_end(&mut self, id: u64, end: frame::End) {
+        let Some(ask) = self.peers.asks.get_mut(&id) else {
+            return;
+        };
+        ask.pending.remove(&end.id);
+        let peer = ask.peer;
+        let told = frame::Told {
+            ends: vec![end],
+            records: bytes::Bytes::new(),
+        };
+        self.tell(peer, told);
+        self.tell_good_if_last(id);
+    }
+
+    fn tell_good_if_last(&mut self, id: u64) {
+        let last = self
+            .peers
+            .asks
+            .get(&id)
+            .is_some_and(|ask| ask.pending.is_empty());
+        if last {
+            self.tell_good(id);
+        }
+    }
+
+    /// The time to merge what came has come.
+    pub(in crate::edge) fn merge(&mut self, id: u64) {
+        if let Some(ask) = self.peers.asks.get_mut(&id) {
+            ask.merged = true;
+            self.tell_good(id);
+        }
+    }
+
+    /// Tells the good replies that came, as one.
+    fn tell_good(&mut self, id: u64) {
+        let Some(ask) = self.peers.asks.get_mut(&id) else {
+            return;
+        };
+        let good = std::mem::take(&mut ask.good);
+        let (peer, top) = (ask.peer, ask.top);
+        if ask.pending.is_empty() {
+            self.peers.asks.remove(&id);
+        }
+        if good.is_empty() {
+            return;
+        }
+        let records = forward::top(good.iter().map(|(_, body)| body.as_ref()), top);
+        let told = frame::Told {
+            ends: good.into_iter().map(|(end, _)| end).collect(),
+            records: records.into(),
+        };
+        self.tell(peer, told);
+    }
+
+    fn tell(&mut self, peer: u64, told: frame::Told) {
+        let bytes = frame::Frame::bytes(frame::Kind::Told(told));
+        let sender = self.peers.incoming.get(&peer);
+        if sender.is_some_and(|sender| sender.send(&bytes).is_err()) {
+            // The connection's reader finds its end and lets go of its calls.
+            log::info!(peer = peer; "replies not sent to a VM");
+        }
+    }
+}
--- a/crates/geraniumgauge/src/forward/job.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -1,5 +1,7 @@
 //! One request on its way.
 
+mod finish;
+
 use std::rc;
 use std::time;
 
@@ -440,107 +442,4 @@
             self.open -= 1;
         }
     }
-
-    /// Ends the job as soon as its end is certain.
-    fn settle(&mut self, actions: &mut Vec<forward::Action>) {
-        if self.finished {
-            return;
-        }
-        if !self.suffices(self.done + self.open) {
-            return self.finish_failed(actions);
-        }
-        if self.open > 0 {
-            return;
-        }
-        if self.is_sharded() {
-            self.finish_merged(actions);
-        } else {
-            self.finish_reply(actions);
-        }
-    }
-
-    fn time_over(&mut self, actions: &mut Vec<forward::Action>) {
-        if self.is_sharded() && self.enough() {
-            self.finish_merged(actions);
-        } else {
-            let reason = forward::Reason::Timeout;
-            self.finish(forward::Outcome::Unknown { reason }, actions);
-        }
-    }
-
-    fn finish_reply(&mut self, actions: &mut Vec<forward::Action>) {
-        let Some(part) = self.parts.first_mut() else {
-            return;
-        };
-        let state = std::mem::replace(&mut part.state, part::State::Open);
-        if let part::State::Done(reply) = state {
-            self.finish(forward::Outcome::Reply(reply), actions);
-        }
-    }
-
-    fn finish_merged(&mut self, actions: &mut Vec<forward::Action>) {
-        let route::Target::Shards(shards) = &self.entry.route.target else {
-            return;
-        };
-        let done = self.parts.iter().filter_map(|part| match &part.state {
-            part::State::Done(reply) => Some(reply),
-            _ => None,
-        });
-        let signatures = done
-            .clone()
-            .filter_map(|reply| reply.signature.clone())
-            .collect();
-        let records = forward::top(done.map(|reply| reply.body.as_ref()), shards.top);
-        let merged = forward::Merged {
-            signatures,
-            missing: self.parts.len() - self.done,
-            records,
-        };
-        self.finish(forward::Outcome::Merged(merged), actions);
-    }
-
-    /// Tells the caller the truth about a request that can't succeed any more:
-    /// an upstream's own failure, not run, or unknown.
-    fn finish_failed(&mut self, actions: &mut Vec<forward::Action>) {
-        if !self.is_sharded()
-            && let Some(reply) = self.parts.first_mut().and_then(|part| part.failure.take())
-        {
-            return self.finish(forward::Outcome::Reply(reply), actions);
-        }
-        let reasons = self.parts.iter().filter_map(|part| match part.state {
-            part::State::Failed(reason) => Some(reason),
-            _ => None,
-        });
-        let full = reasons
-            .clone()
-            .any(|reason| reason == forward::Reason::NoRoom);
-        let reason = match (self.is_sharded(), reasons.last()) {
-            (false, Some(reason)) => reason,
-            _ if full => forward::Reason::NoRoom,
-            _ => forward::Reason::TooFewShards,
-        };
-        if self.parts.iter().any(|part| part.may_have_run > 0) {
-            return self.finish(forward::Outcome::Unknown { reason }, actions);
-        }
-        self.refuse(reason, NO_ROOM_PAUSE, actions);
-    }
-
-    fn refuse(
-        &mut self,
-        reason: forward::Reason,
-        retry_after: time::Duration,
-        actions: &mut Vec<forward::Action>,
-    ) {
-        let refusal = forward::Outcome::NotRun {
-            reason,
-            retry_after,
-        };
-        self.finish(refusal, actions);
-    }
-
-    fn finish(&mut self, outcome: forward::Outcome, actions: &mut Vec<forward::Action>) {
-        self.finished = true;
-        self.abandon(actions);
-        actions.push(forward::Action::Finish(outcome));
-    }
 }
