--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -34,6 +34,9 @@
 /// read the refusal before the connection is reset.
 const LINGER: time::Duration = time::Duration::from_millis(500);
 
+/// Shards that the log names where an answer lacks some.
+const MAX_NAMED: usize = 8;
+
 /// What reading came to.
 enum Next {
     Request(h1::Request),
@@ -236,10 +239,22 @@
             | crate::forward::Outcome::Unknown { reason } => Some(reason.to_string()),
             _ => None,
         };
+        // A single request names its upstreams, a search the shards it lacks.
+        let (upstreams, missing) = if all == 1 {
+            (self.engine.names_of(job.tried()), String::new())
+        } else {
+            let missing: Vec<&str> = job
+                .missing()
+                .take(MAX_NAMED)
+                .map(|name| name.as_str())
+                .collect();
+            (String::new(), missing.join(" "))
+        };
         log::info!(
             request = id, route = job.route().name.as_str(), version:% = table.version(),
             status = answer.status, outcome = answer.outcome, reason = reason,
-            parts_done = done, parts = all, took_ms = took.as_millis() as u64;
+            parts_done = done, parts = all, upstreams = upstreams, missing = missing,
+            took_ms = took.as_millis() as u64;
             "answered"
         );
         let count = self.engine.count();
--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -205,6 +205,16 @@
         self.state.borrow().running()
     }
 
+    /// The ids of upstreams, for logs.
+    pub(super) fn names_of(&self, upstreams: &[registry::Handle]) -> String {
+        let state = self.state.borrow();
+        let ids = upstreams
+            .iter()
+            .map(|upstream| state.fleet.registry.get(*upstream));
+        let ids: Vec<&str> = ids.map(|known| known.entry.id.as_str()).collect();
+        ids.join(" ")
+    }
+
     /// Calls that this VM made for others.
     pub fn calls_for_others(&self) -> u64 {
         self.state.borrow().calls_for_others()
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -8,6 +8,7 @@
 use crate::forward;
 use crate::forward::part;
 use crate::ids;
+use crate::registry;
 use crate::route;
 use crate::time as clock;
 
@@ -246,6 +247,17 @@
         }
     }
 
+    /// The services whose parts have no reply.
+    pub fn missing(&self) -> impl Iterator<Item = &ids::Service> {
+        let open = self.parts.iter().filter(|part| !part.is_done());
+        open.map(|part| &part.service)
+    }
+
+    /// The upstreams that were called for the first part.
+    pub fn tried(&self) -> &[registry::Handle] {
+        self.parts.first().map_or(&[], |part| &part.tried)
+    }
+
     /// How long after its start a call counts as late.
     pub fn hedge_after(&self) -> time::Duration {
         self.hedge_after
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -67,6 +67,10 @@
         matches!(self.state, State::Open)
     }
 
+    pub(super) fn is_done(&self) -> bool {
+        matches!(self.state, State::Done(_))
+    }
+
     /// Takes the call off those under way.
     pub(super) fn take(&mut self, id: ids::Attempt) -> Option<Call> {
         let place = self.calls.iter().position(|call| call.id == id)?;
