--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::edge;
+use crate::edge::frame;
 use crate::edge::link;
 use crate::edge::peers;
 use crate::edge::state;
@@ -34,7 +35,7 @@
 }
 
 /// The edge of one VM; cheap to clone. Use it from one local set only.
-#[derive(Debug, Clone)]
+#[derive(Clone, derive_more::Debug)]
 pub struct Engine {
     state: rc::Rc<cell::RefCell<state::State>>,
     phase: rc::Rc<watch::Sender<Phase>>,
@@ -43,9 +44,16 @@
     count: edge::Count,
     /// Other VMs to which a connection is kept.
     peers: rc::Rc<cell::RefCell<collections::HashSet<net::SocketAddr>>>,
-    blames: rc::Rc<cell::RefCell<Option<sync::mpsc::UnboundedReceiver<ids::Fingerprint>>>>,
+    blames: Once<sync::mpsc::UnboundedReceiver<ids::Fingerprint>>,
+    #[debug(skip)]
+    teller: rc::Rc<cell::RefCell<Option<edge::Teller>>>,
+    learns: sync::mpsc::UnboundedSender<edge::Knowledge>,
+    learned: Once<sync::mpsc::UnboundedReceiver<edge::Knowledge>>,
 }
 
+/// Something that one part takes.
+type Once<T> = rc::Rc<cell::RefCell<Option<T>>>;
+
 impl Engine {
     /// An edge without a configuration.
     pub fn new(
@@ -56,6 +64,7 @@
         count: edge::Count,
     ) -> Self {
         let (blamed, blames) = sync::mpsc::unbounded_channel();
+        let (learns, learned) = sync::mpsc::unbounded_channel();
         let state = state::State::new(fleet, relays, names, count.clone(), blamed);
         Self {
             state: rc::Rc::new(cell::RefCell::new(state)),
@@ -65,6 +74,42 @@
             count,
             peers: rc::Rc::default(),
             blames: rc::Rc::new(cell::RefCell::new(Some(blames))),
+            teller: rc::Rc::default(),
+            learns,
+            learned: rc::Rc::new(cell::RefCell::new(Some(learned))),
+        }
+    }
+
+    /// Sets how other VMs are told what this one knows of the store.
+    pub fn tell_by(&self, teller: edge::Teller) {
+        self.teller.replace(Some(teller));
+    }
+
+    /// What other VMs have told of the store; `None` where it was taken before.
+    pub fn learned(&self) -> Option<sync::mpsc::UnboundedReceiver<edge::Knowledge>> {
+        self.learned.borrow_mut().take()
+    }
+
+    /// Asks another VM what it knows of the store; the answer comes by
+    /// [`Self::learned`].
+    pub fn fetch(&self) {
+        let asked = self.with(|state, _| state.fetch());
+        log::info!(asked = asked; "other VMs know more of the store");
+    }
+
+    pub(super) fn learn(&self, known: edge::Knowledge) {
+        // Whoever took the receiver stops with the process.
+        let _ = self.learns.send(known);
+    }
+
+    pub(super) fn tell_knowledge(&self, peer: u64) {
+        let teller = self.teller.borrow();
+        let known = teller
+            .as_ref()
+            .and_then(|tell| tell(&self.state.borrow().fleet.registry));
+        if let Some(known) = known {
+            let kind = frame::Kind::Known(known.into());
+            self.state.borrow_mut().send_to(peer, kind);
         }
     }
 
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -32,7 +32,8 @@
                         engine.with(|state, now| state.told(address, told, now));
                     }
                     frame::Kind::Bye(_) => engine.with(|state, _| state.declined(address)),
-                    frame::Kind::Ask(_) | frame::Kind::Leave(_) => {
+                    frame::Kind::Known(known) => engine.learn(known.into()),
+                    frame::Kind::Ask(_) | frame::Kind::Leave(_) | frame::Kind::Fetch(_) => {
                         log::warn!(vm:% = address; "unexpected message of a VM");
                     }
                 })
@@ -89,7 +90,8 @@
         frame::Kind::Leave(leave) => {
             engine.with(|state, now| state.left(peer, &leave.calls, now));
         }
-        frame::Kind::Told(_) | frame::Kind::Bye(_) => {
+        frame::Kind::Fetch(_) => engine.tell_knowledge(peer),
+        frame::Kind::Told(_) | frame::Kind::Bye(_) | frame::Kind::Known(_) => {
             log::warn!(peer = peer; "unexpected message of a VM")
         }
     })
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -248,11 +248,16 @@
     }
 
     fn tell(&mut self, peer: u64, told: frame::Told) {
-        let bytes = frame::Frame::bytes(frame::Kind::Told(told));
+        self.send_to(peer, frame::Kind::Told(told));
+    }
+
+    /// Sends a message to a VM that has connected.
+    pub(in crate::edge) fn send_to(&mut self, peer: u64, kind: frame::Kind) {
+        let bytes = frame::Frame::bytes(kind);
         let sender = self.peers.incoming.get(&peer);
         if sender.is_some_and(|sender| sender.send(&bytes).is_err()) {
             // The connection's reader finds its end and lets go of its calls.
-            log::info!(peer = peer; "replies not sent to a VM");
+            log::info!(peer = peer; "message not sent to a VM");
         }
     }
 }
--- a/crates/geraniumgauge/src/follow/held.rs
+++ b/crates/geraniumgauge/src/follow/held.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// The revision of an object that is held.
+    pub fn revision(&self, name: &str) -> Option<ids::Revision> {
+        self.objects.get(name).copied()
+    }
+
     /// The digest of what is held.
     pub fn digest(&self) -> Digest {
         self.digest
--- a/crates/geraniumgauge/src/follow/lookout.rs
+++ b/crates/geraniumgauge/src/follow/lookout.rs
@@ -44,6 +44,8 @@
     pub pace: follow::Pace,
     /// Its place among the VMs: the first one looks first.
     pub rank: watch::Receiver<u32>,
+    /// The configuration's last change that this VM has learned of otherwise.
+    pub config_seen: watch::Receiver<Option<ids::Revision>>,
 }
 
 /// Whom a lookout tells.
@@ -54,6 +56,9 @@
     fn registrations(&mut self, news: follow::News<R>);
     /// This VM has looked: the others may rely on it.
     fn sighting(&mut self, sighting: Sighting);
+    /// The store can't be read, and other VMs have seen more of it than this
+    /// one knows.
+    fn behind(&mut self);
 }
 
 /// What is known so far.
@@ -107,11 +112,22 @@
                     }
                     failures += 1;
                     next = next + self.pace.backoff(failures);
+                    let seen = *self.sightings.borrow();
+                    if seen.is_some_and(|seen| self.lacks(seen, &known)) {
+                        hear.behind();
+                    }
                 }
             }
         }
     }
 
+    /// Whether a sighting shows what this VM doesn't know.
+    fn lacks(&self, seen: Sighting, known: &Known) -> bool {
+        let config = *self.config_seen.borrow();
+        let newer = known.config.max(config) < Some(seen.config);
+        newer || seen.shows_more_than(&self.held.borrow())
+    }
+
     /// How long this VM relies on a sighting.
     fn patience(&self, configured: bool) -> time::Duration {
         if !configured {
@@ -129,7 +145,8 @@
         known: &mut Known,
         hear: &mut impl Hear<C::Value, R::Value>,
     ) -> Result<(), follow::Error> {
-        if known.config.is_some_and(|config| config >= seen.config) {
+        let config = known.config.max(*self.config_seen.borrow());
+        if config.is_some_and(|config| config >= seen.config) {
             return Ok(());
         }
         let mut snapshot = self.config.list(follow::Read::Copy).await?;
--- a/crates/geraniumgauge/src/follow/watch.rs
+++ b/crates/geraniumgauge/src/follow/watch.rs
@@ -178,7 +178,7 @@
     }
 
     /// Whether the store has what `held` lacks.
-    fn shows_more_than(&self, held: &follow::Held) -> bool {
+    pub(super) fn shows_more_than(&self, held: &follow::Held) -> bool {
         let newer = held.at().is_none_or(|at| at <= self.revision);
         newer && held.digest() != self.registrations
     }
