--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -42,10 +42,14 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
     /// Part of a route's aim after which a call counts as late and its part is
-    /// hedged. A third leaves the other upstream time to answer within the aim.
+    /// hedged. A third leaves the other upstream time to answer within the aim;
+    /// 22 in a hundred was worth no more on any of twelve days.
     pub hedge_at: rate::Share,
-    /// Left of the aim when an answer must be on its way: the way to the caller
-    /// and the time until this process gets its turn.
+    /// Left of the aim when an answer must be on its way, beside this process's
+    /// own lag. Callers are up to 3 ms away one way and mostly open a connection
+    /// first: four ways. With 9 ms a fleet of small VMs with such callers earned
+    /// 0.68 of a quiet day's worth in place of 0.80; callers 1 ms away gained
+    /// nothing by it.
     pub answer_margin: time::Duration,
     /// Left of the deadline when the final answer must be on its way.
     pub deadline_margin: time::Duration,
@@ -65,7 +69,7 @@
     fn default() -> Self {
         Self {
             hedge_at: rate::Share::percent(30),
-            answer_margin: time::Duration::from_millis(13),
+            answer_margin: time::Duration::from_millis(12),
             deadline_margin: time::Duration::from_millis(20),
             far_penalty: time::Duration::from_millis(6),
             extra_share: rate::Share::percent(20),
