Read-through: one piece of code where there were two, dead parts gone, two files split

Out went what nothing called or set: the pause of an upstream's refusal, the time of a late call, two route queries, one of the body. A reply no longer reads the clock just to ask whether its connection is busy. Tests keep their assertions; two calls in them follow a signature.

--- a/crates/daemon/src/fields.rs
+++ b/crates/daemon/src/fields.rs
@@ -5,6 +5,7 @@
 
 use geraniumgauge::jsonc;
 use geraniumgauge::rate;
+use geraniumgauge::time as clock;
 
 use crate::settings;
 
@@ -19,7 +20,7 @@
         kind: jsonc::Kind::Text {
             form: "a name of letters, digits and . _ : -",
             get: |kept| Some(kept.vm.to_string()),
-            set: |kept, text| parse(&mut kept.vm, text),
+            set: |kept, text| jsonc::parse_into(&mut kept.vm, text),
         },
     },
     Field {
@@ -29,7 +30,7 @@
         kind: jsonc::Kind::Text {
             form: "a name of letters, digits and . _ : -",
             get: |kept| Some(kept.data_centre.to_string()),
-            set: |kept, text| parse(&mut kept.data_centre, text),
+            set: |kept, text| jsonc::parse_into(&mut kept.data_centre, text),
         },
     },
     Field {
@@ -124,7 +125,7 @@
             min: 0,
             max: 60_000,
             unit: "ms",
-            get: |kept| millis(kept.stop.balancer_wait),
+            get: |kept| clock::millis(kept.stop.balancer_wait),
             set: |kept, value| kept.stop.balancer_wait = time::Duration::from_millis(value),
         },
     },
@@ -136,7 +137,7 @@
             min: 100,
             max: 600_000,
             unit: "ms",
-            get: |kept| millis(kept.stop.grace),
+            get: |kept| clock::millis(kept.stop.grace),
             set: |kept, value| kept.stop.grace = time::Duration::from_millis(value),
         },
     },
@@ -212,25 +213,11 @@
     },
 ];
 
-fn millis(span: time::Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn keep<V>(kept: &mut V, value: Result<V, String>) -> Result<(), String> {
     *kept = value?;
     Ok(())
 }
 
-fn parse<V: std::str::FromStr<Err: std::fmt::Display>>(
-    kept: &mut V,
-    text: &str,
-) -> Result<(), String> {
-    keep(
-        kept,
-        text.parse().map_err(|error: V::Err| error.to_string()),
-    )
-}
-
 fn choose<V: std::str::FromStr>(kept: &mut V, text: &str, choices: &str) -> Result<(), String> {
     let value = text.parse();
     keep(
--- a/crates/geraniumgauge/src/document/fields.rs
+++ b/crates/geraniumgauge/src/document/fields.rs
@@ -6,6 +6,7 @@
 use crate::finding;
 use crate::jsonc;
 use crate::rate;
+use crate::time as clock;
 
 type Field = jsonc::Field<document::Document>;
 
@@ -58,8 +59,8 @@
     if document.deadline > document.max_deadline {
         let problem = format!(
             "{} ms exceed max_deadline_ms, {} ms",
-            millis(document.deadline),
-            millis(document.max_deadline)
+            clock::millis(document.deadline),
+            clock::millis(document.max_deadline)
         );
         reading.add("deadline_ms", problem, "lower it or raise max_deadline_ms");
     }
@@ -68,8 +69,8 @@
     if target_counts && document.latency_target > document.deadline {
         let problem = format!(
             "{} ms exceed deadline_ms, {} ms",
-            millis(document.latency_target),
-            millis(document.deadline)
+            clock::millis(document.latency_target),
+            clock::millis(document.deadline)
         );
         reading.add(
             "latency_target_ms",
@@ -121,7 +122,7 @@
             min: 1,
             max: 60_000,
             unit: "ms",
-            get: |kept| millis(kept.deadline),
+            get: |kept| clock::millis(kept.deadline),
             set: |kept, value| kept.deadline = time::Duration::from_millis(value),
         },
     },
@@ -133,7 +134,7 @@
             min: 1,
             max: 60_000,
             unit: "ms",
-            get: |kept| millis(kept.max_deadline),
+            get: |kept| clock::millis(kept.max_deadline),
             set: |kept, value| kept.max_deadline = time::Duration::from_millis(value),
         },
     },
@@ -145,7 +146,7 @@
             min: 1,
             max: 60_000,
             unit: "ms",
-            get: |kept| millis(kept.latency_target),
+            get: |kept| clock::millis(kept.latency_target),
             set: |kept, value| kept.latency_target = time::Duration::from_millis(value),
         },
     },
@@ -304,7 +305,3 @@
 fn count(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
-
-fn millis(span: time::Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/geraniumgauge/src/document/schema.rs
+++ b/crates/geraniumgauge/src/document/schema.rs
@@ -163,7 +163,7 @@
         span: &time::Duration,
         out: S,
     ) -> Result<S::Ok, S::Error> {
-        out.serialize_u64(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+        out.serialize_u64(crate::time::millis(*span))
     }
 
     pub(super) fn deserialize<'de, D: serde::Deserializer<'de>>(
--- a/crates/geraniumgauge/src/edge/call.rs
+++ b/crates/geraniumgauge/src/edge/call.rs
@@ -69,7 +69,7 @@
             return forward::Verdict::Misdirected;
         }
         if reply.not_run {
-            return forward::Verdict::NotRun { retry_after: None };
+            return forward::Verdict::NotRun;
         }
         if reply.coded || !signed && success {
             return forward::Verdict::Lost;
--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -13,6 +13,7 @@
 use crate::edge::answer;
 use crate::edge::engine;
 use crate::edge::link;
+use crate::forward;
 use crate::h1;
 use crate::rate;
 use crate::route;
@@ -201,7 +202,7 @@
     }
 
     /// Waits for the end of a request; `None` where the caller left before.
-    async fn wait(&mut self, id: u64) -> Option<(crate::forward::Outcome, crate::forward::Job)> {
+    async fn wait(&mut self, id: u64) -> Option<(forward::Outcome, forward::Job)> {
         loop {
             if let Some(done) = self.engine.take(id) {
                 return Some(done);
@@ -227,16 +228,17 @@
     fn tell(
         &self,
         id: &str,
-        job: &crate::forward::Job,
-        outcome: &crate::forward::Outcome,
+        job: &forward::Job,
+        outcome: &forward::Outcome,
         answer: &answer::Answer,
         table: &route::Table,
     ) {
         let took = self.engine.clock().now().since(job.began());
         let (done, all) = job.progress();
         let reason = match outcome {
-            crate::forward::Outcome::NotRun { reason, .. }
-            | crate::forward::Outcome::Unknown { reason } => Some(reason.to_string()),
+            forward::Outcome::NotRun { reason, .. } | forward::Outcome::Unknown { reason } => {
+                Some(reason.to_string())
+            }
             _ => None,
         };
         // A single request names its upstreams, a search the shards it lacks.
--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -12,6 +12,7 @@
 use crate::edge::frame;
 use crate::edge::link;
 use crate::edge::peers;
+use crate::edge::pool;
 use crate::edge::state;
 use crate::forward;
 use crate::h1;
@@ -300,6 +301,12 @@
         state.table.clone().filter(|_| state.listed)
     }
 
+    /// Whether a call waits for its reply on a connection. Asked for each reply:
+    /// unlike [`Self::with`], it reads no clock.
+    pub(super) fn is_busy(&self, link: pool::Link) -> bool {
+        self.state.borrow().is_busy(link)
+    }
+
     pub(super) fn submit(
         &self,
         entry: rc::Rc<route::table::Entry>,
--- a/crates/geraniumgauge/src/edge/knowledge.rs
+++ b/crates/geraniumgauge/src/edge/knowledge.rs
@@ -52,7 +52,7 @@
         told.data_centre = entry.data_centre.to_string();
         told.slots = entry.slots;
         told.draining = entry.state == registry::State::Draining;
-        told.warm_up_ms = u64::try_from(entry.warm_up.as_millis()).unwrap_or(u64::MAX);
+        told.warm_up_ms = clock::millis(entry.warm_up);
         told.born = entry.born.0;
     }
     told
--- a/crates/geraniumgauge/src/edge/link.rs
+++ b/crates/geraniumgauge/src/edge/link.rs
@@ -16,7 +16,7 @@
 use crate::h1;
 use crate::rate;
 
-/// Longest wait for a connection. An upstream without power doesn't refuse.
+/// Longest wait for a connection. One without power doesn't refuse.
 const CONNECT: time::Duration = time::Duration::from_millis(500);
 /// Largest reply that is passed on. Replies are held whole, so that one that
 /// breaks off never looks complete.
@@ -38,7 +38,7 @@
 
 impl Opening {
     pub(super) async fn run(self) {
-        let (reader, writer) = match self.connect().await {
+        let (reader, writer) = match connect(self.address).await {
             Ok(stream) => stream.into_split(),
             Err(error) => {
                 let error = error.to_string();
@@ -57,13 +57,6 @@
         self.engine.with(|state, now| state.ended(link, &why, now));
     }
 
-    async fn connect(&self) -> io::Result<tokio::net::TcpStream> {
-        let connect = tokio::net::TcpStream::connect(self.address);
-        let stream = tokio::time::timeout(CONNECT, connect).await??;
-        prepare(&stream)?;
-        Ok(stream)
-    }
-
     /// Reads replies until the connection ends.
     async fn read(&self, mut reader: tcp::OwnedReadHalf) -> Result<(), h1::Error> {
         let mut codec = h1::ReplyCodec::new(*self.engine.names(), MAX_REPLY);
@@ -71,7 +64,7 @@
         loop {
             buffer.reserve(BUFFER);
             let count = reader.read_buf(&mut buffer).await?;
-            if !self.engine.with(|state, _| state.is_busy(self.link)) {
+            if !self.engine.is_busy(self.link) {
                 return Err(h1::Error::Malformed("idle connection ended or spoke"));
             }
             codec.expect(self.head_only.get());
@@ -104,6 +97,14 @@
     }
 }
 
+/// Opens a connection to an upstream or another VM.
+pub(super) async fn connect(address: net::SocketAddr) -> io::Result<tokio::net::TcpStream> {
+    let connect = tokio::net::TcpStream::connect(address);
+    let stream = tokio::time::timeout(CONNECT, connect).await??;
+    prepare(&stream)?;
+    Ok(stream)
+}
+
 /// Sets what every connection of the edge needs.
 pub(super) fn prepare(stream: &tokio::net::TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/geraniumgauge/src/edge/operators.rs
+++ b/crates/geraniumgauge/src/edge/operators.rs
@@ -9,6 +9,7 @@
 
 use crate::edge;
 use crate::edge::engine;
+use crate::edge::server;
 use crate::h1;
 use crate::metrics;
 use crate::rate;
@@ -46,7 +47,7 @@
                     }
                     Err(error) => {
                         log::warn!(error:% = error; "operator's connection not accepted");
-                        tokio::time::sleep(time::Duration::from_millis(20)).await;
+                        tokio::time::sleep(server::ACCEPT_PAUSE).await;
                     }
                 }
             }
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -14,15 +14,13 @@
 use crate::edge::link;
 use crate::edge::sender;
 
-/// Longest wait for a connection to another VM.
-const CONNECT: time::Duration = time::Duration::from_millis(500);
 /// Pause before a VM is connected to again.
 const RETRY: time::Duration = time::Duration::from_millis(800);
 
 /// Keeps a connection to another VM while it is wanted.
 pub(super) async fn keep(engine: edge::Engine, address: net::SocketAddr) {
     while engine.wants_peer(address) {
-        let error = match connect(address).await {
+        let error = match link::connect(address).await {
             Ok(stream) => {
                 let (reader, writer) = stream.into_split();
                 let sender = sender::Sender::new(writer);
@@ -48,13 +46,6 @@
     engine.forget_peer(address);
 }
 
-async fn connect(address: net::SocketAddr) -> io::Result<tokio::net::TcpStream> {
-    let connect = tokio::net::TcpStream::connect(address);
-    let stream = tokio::time::timeout(CONNECT, connect).await??;
-    link::prepare(&stream)?;
-    Ok(stream)
-}
-
 /// Accepts other VMs on `address` until the process ends.
 ///
 /// # Errors
--- a/crates/geraniumgauge/src/edge/server.rs
+++ b/crates/geraniumgauge/src/edge/server.rs
@@ -11,7 +11,7 @@
 
 /// Pause after a connection couldn't be accepted, such as for want of
 /// descriptors: trying again at once would only burn time.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+pub(super) const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 
 /// Accepts callers and serves each in a task of its own.
 #[derive(Debug)]
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -85,8 +85,7 @@
     }
 
     fn open(&mut self, upstream: registry::Handle) {
-        self.next += 1;
-        let link = pool::Link(self.next);
+        let link = pool::Link(self.next());
         let head_only = rc::Rc::new(cell::Cell::new(false));
         let pool = self.pool(upstream);
         pool.links += 1;
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -1,9 +1,12 @@
 //! The edge's state, and what changes it. No awaits.
 
 mod links;
+mod orphans;
 mod relay;
 mod serve;
 
+pub(super) use orphans::ORPHAN_GRACE;
+
 use std::cell;
 use std::collections;
 use std::rc;
@@ -20,13 +23,6 @@
 use crate::route;
 use crate::time as clock;
 
-/// How long a call that nobody waits for may go on before its connection is
-/// closed, which is the only way to stop it. Most end by themselves in this
-/// time and leave the connection to the next call; a new one costs the upstream
-/// a slot for some milliseconds. Upstreams must be free of a caller's request
-/// half a second after it left.
-pub(super) const ORPHAN_GRACE: time::Duration = time::Duration::from_millis(200);
-
 /// A request under way.
 #[derive(Debug)]
 struct Running {
@@ -301,19 +297,6 @@
         self.act(id, actions, now);
     }
 
-    fn orphan_ended(&mut self, call: &call::Call, verdict: &forward::Verdict, now: clock::Moment) {
-        let orphan = forward::Orphan {
-            upstream: call.upstream,
-            began: call.began,
-            usual: call.orphan.unwrap_or_default(),
-        };
-        let replied = matches!(
-            verdict,
-            forward::Verdict::Good(_) | forward::Verdict::Failure(_)
-        );
-        self.fleet.orphan_ended(&orphan, replied, now);
-    }
-
     /// Makes a call for a job.
     fn call(&mut self, job: u64, send: forward::Send, now: clock::Moment) {
         let Some(running) = self.running.get(&job) else {
@@ -346,55 +329,6 @@
         );
     }
 
-    /// Nobody waits for a call any more.
-    fn orphan(&mut self, id: ids::Attempt, now: clock::Moment) {
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
-        let usual = match call.owner {
-            call::Owner::Job { job, .. } => self.running.get(&job),
-            call::Owner::Ask { .. } => None,
-        };
-        let usual = usual.map(|running| running.job.times().median());
-        call.orphan = Some(usual.unwrap_or_default());
-        if call.via.is_some() {
-            // Its reply may be merged with others, which are of use: it goes on
-            // until the request is over.
-            return;
-        }
-        if call.link.is_none() {
-            let upstream = call.upstream;
-            self.pool(upstream).waiting.retain(|waiting| *waiting != id);
-            self.end(id, forward::Verdict::NotSent, now);
-            return;
-        }
-        if self.orphans.is_empty() {
-            self.orders.push(Order::Sweep);
-        }
-        self.orphans.push_back((now + ORPHAN_GRACE, id));
-    }
-
-    /// Stops calls that nobody has waited for in a while; when to sweep again.
-    pub(super) fn sweep(&mut self, now: clock::Moment) -> Option<clock::Moment> {
-        while let Some((due, id)) = self.orphans.front().copied() {
-            let known = self.calls.get(&id);
-            let Some((link, upstream)) = known.and_then(|call| Some((call.link?, call.upstream)))
-            else {
-                self.orphans.pop_front();
-                continue;
-            };
-            if due > now {
-                return Some(due);
-            }
-            self.orphans.pop_front();
-            self.end(id, forward::Verdict::Lost, now);
-            self.close(link);
-            self.settle(now);
-            self.dispatch(upstream, now);
-        }
-        None
-    }
-
     /// Requests under way, of callers and of other VMs.
     pub(super) fn running(&self) -> usize {
         self.running.len() + self.peers.asks()
@@ -405,7 +339,7 @@
     match verdict {
         forward::Verdict::Good(_) => "good",
         forward::Verdict::Failure(_) => "failure",
-        forward::Verdict::NotRun { .. } => "not_run",
+        forward::Verdict::NotRun => "not_run",
         forward::Verdict::Misdirected => "misdirected",
         forward::Verdict::NotSent => "not_sent",
         forward::Verdict::Lost => "lost",
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -267,7 +267,7 @@
                 }
                 // Too little of the reply is told to pass it on.
                 frame::How::Good | frame::How::Failure | frame::How::Lost => forward::Verdict::Lost,
-                frame::How::NotRun => forward::Verdict::NotRun { retry_after: None },
+                frame::How::NotRun => forward::Verdict::NotRun,
                 frame::How::Misdirected => forward::Verdict::Misdirected,
                 frame::How::NotSent => forward::Verdict::NotSent,
                 frame::How::Unknown => {
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -172,7 +172,7 @@
         let (how, reply) = match verdict {
             forward::Verdict::Good(reply) => (frame::How::Good, Some(reply)),
             forward::Verdict::Failure(_) => (frame::How::Failure, None),
-            forward::Verdict::NotRun { .. } => (frame::How::NotRun, None),
+            forward::Verdict::NotRun => (frame::How::NotRun, None),
             forward::Verdict::Misdirected => (frame::How::Misdirected, None),
             forward::Verdict::NotSent => (frame::How::NotSent, None),
             forward::Verdict::Lost => (frame::How::Lost, None),
--- a/crates/geraniumgauge/src/follow/lookout.rs
+++ b/crates/geraniumgauge/src/follow/lookout.rs
@@ -81,6 +81,7 @@
         let mut known = Known::default();
         let mut heard = self.sightings.subscribe();
         let mut failures = 0_u32;
+        let mut backoff = self.pace.backoff();
         // The first look comes at once: nothing is in force yet.
         let mut next = clock.now();
         loop {
@@ -104,6 +105,7 @@
                         log::info!(failures = failures, sighting:? = seen; "store is back");
                     }
                     failures = 0;
+                    backoff.succeeded();
                     next = next + self.patience(known.config.is_some());
                 }
                 Err(error) => {
@@ -111,7 +113,7 @@
                         log::warn!(error:% = error, sighting:? = seen; "store lost");
                     }
                     failures += 1;
-                    next = next + self.pace.backoff(failures);
+                    next = next + backoff.failed(follow::jitter());
                     let seen = *self.sightings.borrow();
                     if seen.is_some_and(|seen| self.lacks(seen, &known)) {
                         hear.behind();
--- a/crates/geraniumgauge/src/follow/mod.rs
+++ b/crates/geraniumgauge/src/follow/mod.rs
@@ -29,6 +29,7 @@
 pub use peers::View;
 pub use watch::Follower;
 pub use watch::Pace;
+use watch::jitter;
 
 use crate::ids;
 
--- a/crates/geraniumgauge/src/follow/watch.rs
+++ b/crates/geraniumgauge/src/follow/watch.rs
@@ -5,6 +5,7 @@
 use tokio::sync::watch;
 
 use crate::follow;
+use crate::store;
 use crate::timer;
 
 /// How long a watch may lack what a sighting showed before the kind is listed.
@@ -35,15 +36,18 @@
 }
 
 impl Pace {
-    /// The pause after so many failures, with a random part: VMs that lost the
-    /// store together would otherwise call it together.
-    pub fn backoff(&self, failures: u32) -> time::Duration {
-        let pause = self.retry * 2_u32.pow(failures.clamp(1, 8) - 1);
-        let pause = pause.min(self.retry_most);
-        pause.mul_f64(rand::random_range(0.7..1.0))
+    /// The pauses after failures.
+    pub fn backoff(&self) -> store::Backoff {
+        store::Backoff::new(self.retry, self.retry_most)
     }
 }
 
+/// The random part of a pause: VMs that lost the store together would otherwise
+/// call it together. Most of the pause stays, since calls are paid for.
+pub(super) fn jitter() -> f64 {
+    rand::random_range(0.7..1.0)
+}
+
 /// Follows one kind by a watch of a copy that may lag, and lists it where a
 /// sighting shows that the watch missed something.
 #[derive(Debug)]
@@ -77,6 +81,7 @@
     ) {
         let what = self.what;
         let mut failures = 0_u32;
+        let mut backoff = self.pace.backoff();
         loop {
             let pause = match self.step(&mut hear).await {
                 Ok(step) => {
@@ -84,6 +89,7 @@
                         log::info!(what = what, failures = failures, revision:? = self.held.borrow().at(); "watch is back");
                     }
                     failures = 0;
+                    backoff.succeeded();
                     match step {
                         Step::Told => self.pace.gather,
                         Step::Quiet => time::Duration::ZERO,
@@ -94,7 +100,7 @@
                         log::warn!(what = what, revision:? = self.held.borrow().at(), error:% = error; "watch lost");
                     }
                     failures += 1;
-                    self.pace.backoff(failures)
+                    backoff.failed(jitter())
                 }
             };
             if !pause.is_zero() && !timer.pause(pause).await {
--- /dev/null
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -0,0 +1,161 @@
+//! Which calls a job makes, and when a part is done or given up.
+
+use crate::forward;
+use crate::forward::job;
+use crate::forward::part;
+use crate::h1;
+use crate::route;
+use crate::time as clock;
+
+impl job::Job {
+    pub(super) fn can_start(&self, fleet: &mut forward::Fleet, now: clock::Moment) -> bool {
+        let live = self
+            .parts
+            .iter()
+            .filter(|part| fleet.has_upstream(&part.service, now))
+            .count();
+        self.suffices(live)
+    }
+
+    /// Makes a call for a part; marks the part failed where none can be made.
+    pub(super) fn call(
+        &mut self,
+        place: usize,
+        why: forward::Why,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let usual = self.times.median();
+        let part = &mut self.parts[place];
+        let Some(upstream) = fleet.choose(&part.service, &part.tried, usual, now) else {
+            if part.calls.is_empty() {
+                self.fail(place, forward::Reason::NoUpstream);
+            }
+            return;
+        };
+        if part.arrived && !fleet.extra(&part.service, now) {
+            if part.calls.is_empty() {
+                self.fail(place, forward::Reason::NoRoom);
+            }
+            return;
+        }
+        let id = fleet.next_call();
+        fleet.standing(upstream).start();
+        part.arrived = true;
+        part.may_have_run += 1;
+        part.tried.push(upstream);
+        part.calls.push(part::Call {
+            id,
+            upstream,
+            began: now,
+        });
+        part.hedge_at = None;
+        let repeatable = self.entry.route.repeat == route::Repeat::Idempotent;
+        if repeatable && part.may_have_run < self.entry.route.attempts {
+            part.hedge_at = Some(now + self.hedge_after);
+        }
+        actions.push(forward::Action::Send(forward::Send {
+            call: id,
+            part: place,
+            upstream,
+            why,
+        }));
+    }
+
+    pub(super) fn not_run(
+        &mut self,
+        place: usize,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let part = &mut self.parts[place];
+        part.may_have_run -= 1;
+        part.not_run += 1;
+        if part.not_run > part::MAX_NOT_RUN {
+            if part.calls.is_empty() {
+                self.fail(place, forward::Reason::NoRoom);
+            }
+            return;
+        }
+        self.again(place, forward::Why::NotRun, fleet, now, actions);
+    }
+
+    /// Calls again after a call of the part ended without a reply of use.
+    pub(super) fn again(
+        &mut self,
+        place: usize,
+        why: forward::Why,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let route = &self.entry.route;
+        let part = &self.parts[place];
+        if !part.is_open() || self.finished {
+            return;
+        }
+        let may = match route.repeat {
+            route::Repeat::Idempotent => part.may_have_run < route.attempts,
+            route::Repeat::Once => part.may_have_run == 0,
+        };
+        if may {
+            self.call(place, why, fleet, now, actions);
+        } else if part.calls.is_empty() {
+            self.fail(place, forward::Reason::UpstreamsFailed);
+        }
+        self.plan_hedges();
+    }
+
+    pub(super) fn hedge(
+        &mut self,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        for place in 0..self.parts.len() {
+            let part = &mut self.parts[place];
+            if !part.is_open() || part.hedge_at.is_none_or(|at| at > now) {
+                continue;
+            }
+            part.hedge_at = None;
+            for call in &part.calls {
+                fleet.standing(call.upstream).late();
+            }
+            self.call(place, forward::Why::Hedge, fleet, now, actions);
+        }
+    }
+
+    pub(super) fn plan_hedges(&mut self) {
+        let open = self.parts.iter().filter(|part| part.is_open());
+        self.next_hedge = open.filter_map(|part| part.hedge_at).min();
+    }
+
+    pub(super) fn complete(
+        &mut self,
+        place: usize,
+        reply: h1::Reply,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let part = &mut self.parts[place];
+        if !part.is_open() {
+            return;
+        }
+        part.state = part::State::Done(reply);
+        part.hedge_at = None;
+        self.done += 1;
+        self.open -= 1;
+        let lost = part.calls.drain(..);
+        actions.extend(lost.map(|call| forward::Action::Abandon(call.id)));
+    }
+
+    pub(super) fn fail(&mut self, place: usize, reason: forward::Reason) {
+        let part = &mut self.parts[place];
+        if part.is_open() {
+            part.state = part::State::Failed(reason);
+            part.hedge_at = None;
+            self.open -= 1;
+        }
+    }
+}
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -1,5 +1,6 @@
 //! One request on its way.
 
+mod calls;
 mod finish;
 
 use std::rc;
@@ -7,6 +8,7 @@
 
 use crate::forward;
 use crate::forward::part;
+use crate::h1;
 use crate::ids;
 use crate::registry;
 use crate::route;
@@ -22,6 +24,12 @@
 /// stays refused, at least.
 const QUARANTINE_PAUSE: time::Duration = time::Duration::from_secs(30);
 
+/// Times the usual before which no call is late: most would still reply.
+const LATE: f64 = 1.8;
+/// Part of the aim after which a call is late in any case: another one has to
+/// fit into the rest.
+const LATEST: f64 = 0.6;
+
 /// What a job starts from.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -100,7 +108,7 @@
         policy: &forward::Policy,
     ) -> time::Duration {
         let share = aim.mul_f64(policy.hedge_at.get());
-        share.max(median.mul_f64(1.8)).min(aim.mul_f64(0.6))
+        share.max(median.mul_f64(LATE)).min(aim.mul_f64(LATEST))
     }
 
     /// The route.
@@ -188,8 +196,8 @@
                 part.failure = Some(reply);
                 self.again(place, forward::Why::Failed, fleet, now, actions);
             }
-            forward::Verdict::NotRun { retry_after } => {
-                standing.full(retry_after.unwrap_or(NO_ROOM_PAUSE), now);
+            forward::Verdict::NotRun => {
+                standing.full(NO_ROOM_PAUSE, now);
                 self.not_run(place, fleet, now, actions);
             }
             forward::Verdict::Misdirected => {
@@ -240,7 +248,7 @@
 
     /// Lets go of the calls under way. From here on, what becomes of them is
     /// told to [`forward::Fleet::orphan_ended`].
-    pub fn abandon(&mut self, actions: &mut Vec<forward::Action>) {
+    fn abandon(&mut self, actions: &mut Vec<forward::Action>) {
         for part in &mut self.parts {
             let calls = part.calls.drain(..);
             actions.extend(calls.map(|call| forward::Action::Abandon(call.id)));
@@ -272,9 +280,9 @@
     }
 
     /// Puts a reply in the place of the one that a part has.
-    pub fn replace(&mut self, place: usize, reply: crate::h1::Reply) {
+    pub fn replace(&mut self, place: usize, reply: h1::Reply) {
         let part = self.parts.get_mut(place);
-        if let Some(part) = part.filter(|part| matches!(part.state, part::State::Done(_))) {
+        if let Some(part) = part.filter(|part| part.is_done()) {
             part.state = part::State::Done(reply);
         }
     }
@@ -303,155 +311,4 @@
     fn enough(&self) -> bool {
         self.suffices(self.done)
     }
-
-    fn can_start(&self, fleet: &mut forward::Fleet, now: clock::Moment) -> bool {
-        let live = self
-            .parts
-            .iter()
-            .filter(|part| fleet.has_upstream(&part.service, now))
-            .count();
-        self.suffices(live)
-    }
-
-    /// Makes a call for a part; marks the part failed where none can be made.
-    fn call(
-        &mut self,
-        place: usize,
-        why: forward::Why,
-        fleet: &mut forward::Fleet,
-        now: clock::Moment,
-        actions: &mut Vec<forward::Action>,
-    ) {
-        let usual = self.times.median();
-        let part = &mut self.parts[place];
-        let Some(upstream) = fleet.choose(&part.service, &part.tried, usual, now) else {
-            if part.calls.is_empty() {
-                self.fail(place, forward::Reason::NoUpstream);
-            }
-            return;
-        };
-        if part.arrived && !fleet.extra(&part.service, now) {
-            if part.calls.is_empty() {
-                self.fail(place, forward::Reason::NoRoom);
-            }
-            return;
-        }
-        let id = fleet.next_call();
-        fleet.standing(upstream).start();
-        part.arrived = true;
-        part.may_have_run += 1;
-        part.tried.push(upstream);
-        part.calls.push(part::Call {
-            id,
-            upstream,
-            began: now,
-        });
-        part.hedge_at = None;
-        let repeatable = self.entry.route.repeat == route::Repeat::Idempotent;
-        if repeatable && part.may_have_run < self.entry.route.attempts {
-            part.hedge_at = Some(now + self.hedge_after);
-        }
-        actions.push(forward::Action::Send(forward::Send {
-            call: id,
-            part: place,
-            upstream,
-            why,
-        }));
-    }
-
-    fn not_run(
-        &mut self,
-        place: usize,
-        fleet: &mut forward::Fleet,
-        now: clock::Moment,
-        actions: &mut Vec<forward::Action>,
-    ) {
-        let part = &mut self.parts[place];
-        part.may_have_run -= 1;
-        part.not_run += 1;
-        if part.not_run > part::MAX_NOT_RUN {
-            if part.calls.is_empty() {
-                self.fail(place, forward::Reason::NoRoom);
-            }
-            return;
-        }
-        self.again(place, forward::Why::NotRun, fleet, now, actions);
-    }
-
-    /// Calls again after a call of the part ended without a reply of use.
-    fn again(
-        &mut self,
-        place: usize,
-        why: forward::Why,
-        fleet: &mut forward::Fleet,
-        now: clock::Moment,
-        actions: &mut Vec<forward::Action>,
-    ) {
-        let route = &self.entry.route;
-        let part = &self.parts[place];
-        if !part.is_open() || self.finished {
-            return;
-        }
-        let may = match route.repeat {
-            route::Repeat::Idempotent => part.may_have_run < route.attempts,
-            route::Repeat::Once => part.may_have_run == 0,
-        };
-        if may {
-            self.call(place, why, fleet, now, actions);
-        } else if part.calls.is_empty() {
-            self.fail(place, forward::Reason::UpstreamsFailed);
-        }
-        self.plan_hedges();
-    }
-
-    fn hedge(
-        &mut self,
-        fleet: &mut forward::Fleet,
-        now: clock::Moment,
-        actions: &mut Vec<forward::Action>,
-    ) {
-        for place in 0..self.parts.len() {
-            let part = &mut self.parts[place];
-            if !part.is_open() || part.hedge_at.is_none_or(|at| at > now) {
-                continue;
-            }
-            part.hedge_at = None;
-            for call in &part.calls {
-                fleet.standing(call.upstream).late(call.began);
-            }
-            self.call(place, forward::Why::Hedge, fleet, now, actions);
-        }
-    }
-
-    fn plan_hedges(&mut self) {
-        let open = self.parts.iter().filter(|part| part.is_open());
-        self.next_hedge = open.filter_map(|part| part.hedge_at).min();
-    }
-
-    fn complete(
-        &mut self,
-        place: usize,
-        reply: crate::h1::Reply,
-        actions: &mut Vec<forward::Action>,
-    ) {
-        let part = &mut self.parts[place];
-        if !part.is_open() {
-            return;
-        }
-        part.state = part::State::Done(reply);
-        part.hedge_at = None;
-        self.done += 1;
-        self.open -= 1;
-        let lost = part.calls.drain(..);
-        actions.extend(lost.map(|call| forward::Action::Abandon(call.id)));
-    }
-
-    fn fail(&mut self, place: usize, reason: forward::Reason) {
-        let part = &mut self.parts[place];
-        if part.is_open() {
-            part.state = part::State::Failed(reason);
-            part.hedge_at = None;
-            self.open -= 1;
-        }
-    }
 }
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -142,10 +142,7 @@
     /// The upstream replied with a failure of its own: it may have run.
     Failure(h1::Reply),
     /// It wasn't run: the upstream said so.
-    NotRun {
-        /// How long the upstream asks to be left alone, where it does.
-        retry_after: Option<time::Duration>,
-    },
+    NotRun,
     /// It wasn't run: another upstream has the address.
     Misdirected,
     /// It wasn't run: no byte of it was sent.
--- a/crates/geraniumgauge/src/forward/relay.rs
+++ b/crates/geraniumgauge/src/forward/relay.rs
@@ -122,9 +122,7 @@
         }
         self.turn = self.turn.wrapping_add(1);
         let able: Vec<&Known> = self
-            .known
-            .iter()
-            .filter(|known| known.helper.data_centre == *data_centre)
+            .in_place(data_centre)
             .filter(|known| self.suits(&known.helper) && known.answers(now))
             .collect();
         let chosen = able.get(self.turn % able.len().max(1))?;
@@ -181,13 +179,14 @@
 
     /// Whether a VM beside this one makes its calls where they are many.
     fn has_larger_beside(&self) -> bool {
-        let beside = self
-            .known
-            .iter()
-            .filter(|known| known.helper.data_centre == self.own);
-        beside
-            .into_iter()
-            .any(|known| known.helper.power >= LARGER * self.power)
+        let mut beside = self.in_place(&self.own);
+        beside.any(|known| known.helper.power >= LARGER * self.power)
+    }
+
+    /// The VMs of a data centre, without this one.
+    fn in_place<'s>(&'s self, data_centre: &'s ids::DataCentre) -> impl Iterator<Item = &'s Known> {
+        let of_it = move |known: &&Known| known.helper.data_centre == *data_centre;
+        self.known.iter().filter(of_it)
     }
 
     fn find(&mut self, address: net::SocketAddr) -> Option<&mut Known> {
@@ -216,10 +215,7 @@
     }
 
     fn suits(&self, helper: &Helper) -> bool {
-        let beside = self
-            .known
-            .iter()
-            .filter(|known| known.helper.data_centre == helper.data_centre);
+        let beside = self.in_place(&helper.data_centre);
         let most = beside.map(|known| known.helper.power).fold(0.0, f64::max);
         let powerful = helper.power >= POWERFUL * most;
         let near = helper.data_centre == self.own;
--- a/crates/geraniumgauge/src/forward/standing.rs
+++ b/crates/geraniumgauge/src/forward/standing.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::store;
 use crate::time as clock;
 
 /// Weight of the newest call in the running slowness.
@@ -16,6 +17,9 @@
 /// A call is taken as at most this many times slower than usual, so that one
 /// straggler doesn't rule an upstream out for long.
 const MOST: f64 = 12.0;
+/// A call is expected to take at least this part of the usual time, however fast
+/// the last ones were.
+const LEAST: f64 = 0.2;
 /// How fast an upstream's slowness is forgotten while it gets no calls: after
 /// this time a third of it is left, and it is tried again. Long enough to spare
 /// most calls a slow spell of seconds, short enough to use it again after one.
@@ -34,10 +38,11 @@
     running: u32,
     slowness: f64,
     seen: clock::Moment,
-    overdue: Option<clock::Moment>,
+    /// Whether a call is late that has no reply yet.
+    late: bool,
     slow_replies: u32,
     slow_until: clock::Moment,
-    failures: u32,
+    backoff: store::Backoff,
     down_until: clock::Moment,
     full_until: clock::Moment,
     misdirected: bool,
@@ -49,10 +54,10 @@
             running: 0,
             slowness: 1.0,
             seen: clock::Moment::default(),
-            overdue: None,
+            late: false,
             slow_replies: 0,
             slow_until: clock::Moment::default(),
-            failures: 0,
+            backoff: store::Backoff::new(BACKOFF, BACKOFF_MOST),
             down_until: clock::Moment::default(),
             full_until: clock::Moment::default(),
             misdirected: false,
@@ -74,8 +79,8 @@
     /// It replied to a call that began at `began`; `ratio` is the call's time by
     /// the route's usual one.
     pub fn replied(&mut self, ratio: f64, began: clock::Moment, now: clock::Moment) {
-        self.overdue = None;
-        self.failures = 0;
+        self.late = false;
+        self.backoff.succeeded();
         self.down_until = clock::Moment::default();
         if ratio > SLOW {
             return self.slow(ratio, began, now);
@@ -84,15 +89,15 @@
         self.learn(NEWEST, ratio, now);
     }
 
-    /// A call that began at `began` has no reply yet though it is late.
-    pub fn late(&mut self, began: clock::Moment) {
-        self.overdue.get_or_insert(began);
+    /// A call has no reply yet though it is late.
+    pub fn late(&mut self) {
+        self.late = true;
     }
 
     /// A call that began at `began` was given up, with no reply after `ratio`
     /// times the usual time.
     pub fn given_up(&mut self, ratio: f64, began: clock::Moment, now: clock::Moment) {
-        self.overdue = None;
+        self.late = false;
         if ratio > SLOW {
             self.slow(ratio, began, now);
         }
@@ -120,16 +125,15 @@
 
     /// It replied with a failure, or a call's connection was lost.
     pub fn failed(&mut self, now: clock::Moment) {
-        self.overdue = None;
+        self.late = false;
         self.learn(NEWEST, MOST / 2.0, now);
     }
 
     /// No connection could be made.
     pub fn unreachable(&mut self, now: clock::Moment) {
-        let pause = BACKOFF * 2_u32.pow(self.failures.min(4));
-        self.failures += 1;
-        self.down_until = now + pause.min(BACKOFF_MOST);
-        self.overdue = None;
+        // No random part: each VM tries on its own calls' behalf.
+        self.down_until = now + self.backoff.failed(1.0);
+        self.late = false;
     }
 
     /// It said that it has no room, and when to come back.
@@ -154,12 +158,7 @@
 
     /// Whether a call to it is overdue.
     pub fn is_late(&self) -> bool {
-        self.overdue.is_some()
-    }
-
-    /// Calls that run there for this VM.
-    pub fn running(&self) -> u32 {
-        self.running
+        self.late
     }
 
     /// How many times slower than usual it is taken to be.
@@ -178,6 +177,6 @@
     ) -> time::Duration {
         let queued = f64::from((self.running + 1).saturating_sub(slots)) / f64::from(slots.max(1));
         let cold = if cold { COLD } else { 1.0 };
-        usual.mul_f64(self.slowness(now).max(0.2) * cold * (1.0 + queued))
+        usual.mul_f64(self.slowness(now).max(LEAST) * cold * (1.0 + queued))
     }
 }
--- a/crates/geraniumgauge/src/forward/tests/job.rs
+++ b/crates/geraniumgauge/src/forward/tests/job.rs
@@ -129,7 +129,7 @@
 fn proof_that_it_has_not_run_allows_another_try() {
     let mut world = world::World::new(1, 2);
     let mut job = world.start(world::single(route::Repeat::Once));
-    world.end(&mut job, 0, forward::Verdict::NotRun { retry_after: None });
+    world.end(&mut job, 0, forward::Verdict::NotRun);
     assert_eq!(world.sends.len(), 2);
     world.end(&mut job, 1, forward::Verdict::NotSent);
     let outcome = &world.outcome;
@@ -144,7 +144,7 @@
     match kind % 7 {
         0 => forward::Verdict::Lost,
         1 => world::failure(),
-        2 => forward::Verdict::NotRun { retry_after: None },
+        2 => forward::Verdict::NotRun,
         3 => forward::Verdict::Misdirected,
         4 => forward::Verdict::NotSent,
         _ => world::good(b'g'),
--- a/crates/geraniumgauge/src/forward/tests/standing.rs
+++ b/crates/geraniumgauge/src/forward/tests/standing.rs
@@ -13,7 +13,7 @@
 #[test]
 fn one_pause_makes_no_slow_upstream() {
     let mut standing = forward::Standing::default();
-    standing.late(at(1030));
+    standing.late();
     assert!(standing.is_late());
     for began in [1000, 1010, 1040] {
         standing.replied(10.0, at(began), at(1120));
--- a/crates/geraniumgauge/src/h1/body.rs
+++ b/crates/geraniumgauge/src/h1/body.rs
@@ -66,11 +66,6 @@
         }
     }
 
-    /// Whether only the end of the connection completes it.
-    pub fn ends_with_connection(&self) -> bool {
-        self.ends == Ends::WithConnection
-    }
-
     /// Takes from `source`; the whole body once it is complete.
     ///
     /// # Errors
--- a/crates/geraniumgauge/src/jsonc/field.rs
+++ b/crates/geraniumgauge/src/jsonc/field.rs
@@ -1,6 +1,7 @@
 //! The table of a format's fields.
 
 use std::fmt;
+use std::str;
 
 /// One field of a format whose values are kept in a `T`.
 #[derive(Debug)]
@@ -111,6 +112,19 @@
     }
 }
 
+/// Reads `text` into `kept`, for setters of texts: errors of newtypes read
+/// `problem; remedy` already.
+///
+/// # Errors
+/// What the type says of a text that is no value.
+pub fn parse_into<V: str::FromStr<Err: fmt::Display>>(
+    kept: &mut V,
+    text: &str,
+) -> Result<(), String> {
+    *kept = text.parse().map_err(|error: V::Err| error.to_string())?;
+    Ok(())
+}
+
 /// A page that names each field with its type, range, default and meaning.
 pub fn help<T>(fields: &[Field<T>], defaults: &T) -> String {
     fields.iter().map(|field| line(field, defaults)).collect()
--- a/crates/geraniumgauge/src/jsonc/mod.rs
+++ b/crates/geraniumgauge/src/jsonc/mod.rs
@@ -11,6 +11,7 @@
 pub use field::Field;
 pub use field::Kind;
 pub use field::help;
+pub use field::parse_into;
 pub use read::Reading;
 pub use read::Unknown;
 pub use read::read;
--- a/crates/geraniumgauge/src/ledger/pages.rs
+++ b/crates/geraniumgauge/src/ledger/pages.rs
@@ -78,7 +78,7 @@
     window: time::Duration,
     wall: clock::Wall,
 ) -> Option<clock::Wall> {
-    let kept = u64::try_from((window + SKEW).as_millis()).unwrap_or(u64::MAX);
+    let kept = clock::millis(window + SKEW);
     let cutoff = clock::Wall(wall.0.saturating_sub(kept));
     let old = |time: clock::Wall| time <= cutoff;
     let entry = head.entries.keys().filter_map(key::time).any(old);
--- a/crates/geraniumgauge/src/ledger/service.rs
+++ b/crates/geraniumgauge/src/ledger/service.rs
@@ -365,7 +365,7 @@
                 code: refusal.code.to_string(),
                 message: refusal.message,
                 not_run: refusal.ran == query::Ran::No,
-                retry_after_ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
+                retry_after_ms: clock::millis(span),
                 ..message::Registered::default()
             }
         }
--- a/crates/geraniumgauge/src/route/mod.rs
+++ b/crates/geraniumgauge/src/route/mod.rs
@@ -111,22 +111,6 @@
     pub target: Target,
 }
 
-impl Route {
-    /// Services that the route names.
-    pub fn services(&self) -> Vec<&ids::Service> {
-        match &self.target {
-            Target::One(split) => split.iter().map(|part| &part.service).collect(),
-            Target::Shards(shards) => shards.services.iter().collect(),
-        }
-    }
-
-    /// Whether `other` sends the same requests to the same places, whatever
-    /// their timeouts. Used to keep what was learned across versions.
-    pub fn same_place(&self, other: &Self) -> bool {
-        self.host == other.host && self.prefix == other.prefix
-    }
-}
-
 /// A configuration that is shared by the requests it governs.
 pub type Shared = rc::Rc<Table>;
 
--- a/crates/geraniumgauge/src/route/table.rs
+++ b/crates/geraniumgauge/src/route/table.rs
@@ -79,11 +79,6 @@
         self.services.get(service)
     }
 
-    /// The services that the configuration describes.
-    pub fn services(&self) -> impl Iterator<Item = (&ids::Service, &route::Service)> {
-        self.services.iter()
-    }
-
     /// Every route.
     pub fn entries(&self) -> impl Iterator<Item = &rc::Rc<Entry>> {
         self.hosts.values().flatten()
--- a/crates/geraniumgauge/src/slo/series.rs
+++ b/crates/geraniumgauge/src/slo/series.rs
@@ -58,7 +58,7 @@
     pub fn compact(&mut self, now: clock::Wall) {
         let mut merged = collections::BTreeMap::<(clock::Wall, u64), slo::Counts>::new();
         for slice in self.slices.drain(..) {
-            let age = millis(now.since(slice.start));
+            let age = clock::millis(now.since(slice.start));
             let fits = |(width, kept): &&(u64, u64)| slice.width <= *width && age <= *kept;
             let Some((width, _)) = TIERS.iter().find(fits) else {
                 continue;
@@ -80,7 +80,7 @@
     /// The counts of the last `window`. Slices count whole, so up to one
     /// slice's width more than the window may be in it.
     pub fn window(&self, now: clock::Wall, window: time::Duration) -> slo::Counts {
-        let from = now.0.saturating_sub(millis(window));
+        let from = now.0.saturating_sub(clock::millis(window));
         let mut sum = slo::Counts::default();
         let within = |slice: &&Slice| slice.start.0 + slice.width > from;
         let slices = self.slices.iter().filter(within);
@@ -117,10 +117,6 @@
     clock::Wall(moment.0 - moment.0 % width)
 }
 
-fn millis(span: time::Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 #[cfg(test)]
 #[path = "tests/series.rs"]
 mod tests;
--- a/crates/geraniumgauge/src/time.rs
+++ b/crates/geraniumgauge/src/time.rs
@@ -42,6 +42,11 @@
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Whole milliseconds of `span`, saturating.
+pub fn millis(span: time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The VM's wall clock, in milliseconds since the Unix epoch.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
@@ -58,8 +63,7 @@
 impl ops::Add<time::Duration> for Wall {
     type Output = Self;
     fn add(self, span: time::Duration) -> Self {
-        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-        Self(self.0.saturating_add(millis))
+        Self(self.0.saturating_add(millis(span)))
     }
 }
 
--- a/crates/geraniumgauge/src/upstream/connection.rs
+++ b/crates/geraniumgauge/src/upstream/connection.rs
@@ -10,6 +10,7 @@
 
 use super::reply;
 use crate::layout;
+use crate::time as clock;
 
 /// Host name in URLs; the connection's resolver gives the address.
 const HOST: &str = "upstream";
@@ -177,7 +178,7 @@
     }
 
     fn post(&self, path: &str, time_left: time::Duration) -> reqwest::RequestBuilder {
-        let millis = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+        let millis = clock::millis(time_left);
         self.client
             .post(format!("{}{path}", self.base))
             .header(super::DEADLINE_MS, millis)
