--- a/crates/geraniumgauge/src/edge/mod.rs
+++ b/crates/geraniumgauge/src/edge/mod.rs
@@ -7,6 +7,7 @@
 //! and its reply is handled in the task that read it.
 
 mod answer;
+mod backlog;
 mod call;
 mod caller;
 mod count;
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -4,12 +4,14 @@
 use std::net;
 use std::time;
 
+use futures_util::FutureExt as _;
 use futures_util::StreamExt as _;
 use prost::Message as _;
 use tokio::net::tcp;
 use tokio_util::codec;
 
 use crate::edge;
+use crate::edge::backlog;
 use crate::edge::frame;
 use crate::edge::link;
 use crate::edge::sender;
@@ -97,19 +99,38 @@
         .max_frame_length(frame::MAX)
         .new_codec();
     let mut frames = codec::FramedRead::new(reader, codec);
+    let mut batch = Vec::new();
     loop {
-        let bytes = match frames.next().await {
+        let ended = gather(&mut frames, &mut batch).await;
+        backlog::prune(&mut batch);
+        for kind in batch.drain(..) {
+            take(kind);
+        }
+        if let Some(error) = ended {
+            return error;
+        }
+    }
+}
+
+type Frames = codec::FramedRead<tcp::OwnedReadHalf, codec::LengthDelimitedCodec>;
+
+/// Waits for a message, and takes all that have come with it; the error that
+/// ends the connection, if one does.
+async fn gather(frames: &mut Frames, batch: &mut Vec<frame::Kind>) -> Option<io::Error> {
+    let mut next = frames.next().await;
+    loop {
+        let bytes = match next {
             Some(Ok(bytes)) => bytes,
-            Some(Err(error)) => return error,
-            None => return io::ErrorKind::UnexpectedEof.into(),
+            Some(Err(error)) => return Some(error),
+            None => return Some(io::ErrorKind::UnexpectedEof.into()),
         };
         match frame::Frame::decode(bytes) {
-            Ok(frame) => {
-                if let Some(kind) = frame.kind {
-                    take(kind);
-                }
-            }
-            Err(error) => return io::Error::new(io::ErrorKind::InvalidData, error),
+            Ok(frame) => batch.extend(frame.kind),
+            Err(error) => return Some(io::Error::new(io::ErrorKind::InvalidData, error)),
         }
+        next = match frames.next().now_or_never() {
+            Some(next) => next,
+            None => return None,
+        };
     }
 }
--- a/crates/geraniumgauge/src/quarantine/tests/fleet/properties.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/fleet/properties.rs
@@ -103,7 +103,13 @@
         world.away_for = time::Duration::from_millis(300);
         for query in 0..1200 {
             let entry = (query % 8) as usize;
-            world.after(query * 1_500, Ev::Start { entry, query: 1000 + query });
+            world.after(
+                query * 1_500,
+                Ev::Start {
+                    entry,
+                    query: 1000 + query,
+                },
+            );
         }
         world.racked = (0..8).map(|shard| format!("u-{shard}-0")).collect();
         world.after(300_000, Ev::Rack);
--- a/crates/geraniumgauge/src/quarantine/tests/fleet/upstreams.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/fleet/upstreams.rs
@@ -35,7 +35,8 @@
 
     /// Every call that runs there loses its connection.
     pub(super) fn go_down(&mut self, upstream: &str) {
-        self.away.insert(upstream.to_owned(), self.now + self.away_for);
+        self.away
+            .insert(upstream.to_owned(), self.now + self.away_for);
         let here = |running: &&Running| running.started && running.call.upstream == upstream;
         let lost: Vec<_> = self
             .calls
--- a/crates/geraniumgauge/src/quarantine/trial.rs
+++ b/crates/geraniumgauge/src/quarantine/trial.rs
@@ -116,9 +116,8 @@
         // Trials beside each other keep callers from waiting in line after a rack
         // restarts, when every new request that ran there is suspect: one at a
         // time, 153 of 9,600 shards were missing as quarantined in one such run.
-        let in_the_way = |held: &Claim| {
-            held.fingerprint == claim.fingerprint || held.is_near(claim)
-        };
+        let in_the_way =
+            |held: &Claim| held.fingerprint == claim.fingerprint || held.is_near(claim);
         if next.claims.iter().any(in_the_way) {
             return Start::Busy;
         }
