--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -185,6 +185,7 @@
         }
         let cold = now < upstream.warm_at;
         let mut cost = standing.expect(usual, upstream.entry.slots, cold, now);
+        cost += standing.decline_cost(now);
         if upstream.entry.data_centre != self.own.data_centre {
             cost += self.policy.far_penalty;
         }
--- a/crates/geraniumgauge/src/forward/standing.rs
+++ b/crates/geraniumgauge/src/forward/standing.rs
@@ -29,6 +29,18 @@
 /// Longest pause after failed connections. An upstream that restarts is back
 /// after some seconds; a try a second costs little.
 const BACKOFF_MOST: time::Duration = time::Duration::from_millis(1000);
+/// Weight of the newest call in the running share of calls that were declined.
+/// At ten calls a second to an upstream it follows a change within a second.
+const NEWEST_DECLINED: f64 = 0.1;
+/// How fast that share is forgotten while an upstream gets no calls: a third is
+/// left after this time, and it is tried again.
+const FORGET_DECLINED: time::Duration = time::Duration::from_millis(4000);
+/// What a call that will be declined costs: another call a while later, out of a
+/// budget that other calls need more. Where 20 of 46 upstreams declined a part of
+/// their calls, searches that failed went from 25 in 1,000 to 4, and on a fleet of
+/// 71 VMs from 115 in 1,000 to 2; with 60 ms to 20 there. Where upstreams
+/// decline because they are full, both of a shard do, and it changed nothing.
+const DECLINED: time::Duration = time::Duration::from_millis(150);
 /// How much slower an upstream is taken to be that is warming up.
 const COLD: f64 = 1.6;
 
@@ -45,6 +57,9 @@
     backoff: store::Backoff,
     down_until: clock::Moment,
     full_until: clock::Moment,
+    /// The share of calls that it declined, and when it last took or declined one.
+    declined: f64,
+    declined_seen: clock::Moment,
     misdirected: bool,
 }
 
@@ -60,6 +75,8 @@
             backoff: store::Backoff::new(BACKOFF, BACKOFF_MOST),
             down_until: clock::Moment::default(),
             full_until: clock::Moment::default(),
+            declined: 0.0,
+            declined_seen: clock::Moment::default(),
             misdirected: false,
         }
     }
@@ -82,6 +99,7 @@
         self.late = false;
         self.backoff.succeeded();
         self.down_until = clock::Moment::default();
+        self.learn_declined(0.0, now);
         if ratio > SLOW {
             return self.slow(ratio, began, now);
         }
@@ -139,6 +157,28 @@
     /// It said that it has no room, and when to come back.
     pub fn full(&mut self, pause: time::Duration, now: clock::Moment) {
         self.full_until = now + pause;
+        self.learn_declined(1.0, now);
+    }
+
+    fn learn_declined(&mut self, sample: f64, now: clock::Moment) {
+        let before = self.declined(now);
+        self.declined = before + NEWEST_DECLINED * (sample - before);
+        self.declined_seen = now;
+    }
+
+    /// The share of calls that it declines, as far as is known.
+    fn declined(&self, now: clock::Moment) -> f64 {
+        let age = now.since(self.declined_seen).as_secs_f64() / FORGET_DECLINED.as_secs_f64();
+        self.declined * (-age).exp()
+    }
+
+    /// What the calls that it will decline cost, on average.
+    ///
+    /// An upstream that declines a part of its calls while it has room looks
+    /// fast: what it does take it answers at once. Chosen as often as its
+    /// sibling, it uses up the budget of extra calls, and then searches fail.
+    pub fn decline_cost(&self, now: clock::Moment) -> time::Duration {
+        DECLINED.mul_f64(self.declined(now))
     }
 
     /// Another upstream answered at its address.
--- a/crates/geraniumgauge/src/forward/tests/standing.rs
+++ b/crates/geraniumgauge/src/forward/tests/standing.rs
@@ -1,5 +1,6 @@
 use std::time;
 
+use super::world;
 use crate::forward;
 use crate::time as clock;
 
@@ -68,3 +69,54 @@
     assert!(standing.expect(usual, 2, false, at(1)) > idle.mul_f64(2.0));
     assert!(standing.expect(usual, 2, true, at(1)) > standing.expect(usual, 2, false, at(1)));
 }
+
+/// Story: an upstream declines four calls in ten though it has room, and answers
+/// the others fast. Its sibling takes all. Chosen evenly, the declined calls use
+/// up the budget of extra calls within seconds, and searches go without parts.
+#[test]
+fn an_upstream_that_declines_for_no_reason_gets_few_calls() {
+    let mut world = world::World::new(1, 2);
+    let handles = world.fleet.registry.of(&world::name(0)).to_vec();
+    let usual = time::Duration::from_millis(11);
+    let mut sent = [0, 0];
+    // The first one is in the caller's own data centre, and goes first by that.
+    for call in 0..400 {
+        world.now = world.now + time::Duration::from_millis(20);
+        let chosen = world
+            .fleet
+            .choose(&world::name(0), &[], usual, world.now)
+            .expect("both are up");
+        let place = usize::from(chosen == handles[1]);
+        sent[place] += 1;
+        let now = world.now;
+        let standing = world.fleet.standing(chosen);
+        if place == 0 && call % 5 < 2 {
+            standing.full(time::Duration::from_millis(40), now);
+        } else {
+            standing.replied(1.0, now, now);
+        }
+    }
+    assert!(sent[0] < sent[1] / 4, "{sent:?}");
+    assert!(sent[0] > 1, "it is tried again now and then: {sent:?}");
+}
+
+/// Story: both upstreams of a shard are full on a busy day. Neither is better
+/// for it, and the near one stays the first choice.
+#[test]
+fn upstreams_that_are_both_full_stay_as_they_were() {
+    let mut world = world::World::new(1, 2);
+    let handles = world.fleet.registry.of(&world::name(0)).to_vec();
+    for handle in &handles {
+        for _ in 0..5 {
+            let now = world.now;
+            world
+                .fleet
+                .standing(*handle)
+                .full(time::Duration::from_millis(40), now);
+        }
+    }
+    let later = world.now + time::Duration::from_millis(50);
+    let usual = time::Duration::from_millis(11);
+    let chosen = world.fleet.choose(&world::name(0), &[], usual, later);
+    assert_eq!(chosen, Some(handles[0]));
+}
