--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -6,18 +6,18 @@
 use geraniumgauge::ids;
 use geraniumgauge::store;
 
+use crate::call;
 use crate::check;
 use crate::failure;
 use crate::show;
 use crate::status;
-use crate::verbs;
 
 const WAIT_S: u64 = 10;
 /// How often the status is read while waiting.
 const LOOK: time::Duration = time::Duration::from_millis(250);
 
 /// Checks, writes over the version read, and waits until it is in force.
-pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
+pub(crate) async fn run(call: call::Call) -> Result<(), failure::Failure> {
     let service = call.service()?;
     let base = call.value::<ids::ObjectVersion>("--if-version")?;
     let wait = call.value::<u64>("--wait")?.unwrap_or(WAIT_S);
--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -5,13 +5,13 @@
 use geraniumgauge::slo;
 use geraniumgauge::time;
 
+use crate::call;
 use crate::failure;
 use crate::status;
 use crate::table;
-use crate::verbs;
 
 /// Prints the burn report, or writes it as a page or a plot.
-pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
+pub(crate) async fn run(call: call::Call) -> Result<(), failure::Failure> {
     let service = call.service()?;
     let output = call.value::<String>("--output")?;
     let draw = output
@@ -40,7 +40,7 @@
 
 type Draw = fn(&slo::Report) -> Result<String, slo::PageError>;
 
-fn drawing(call: &verbs::Call, file: &str) -> Result<Draw, failure::Failure> {
+fn drawing(call: &call::Call, file: &str) -> Result<Draw, failure::Failure> {
     match file.rsplit('.').next() {
         Some("html") => Ok(slo::page),
         Some("svg") => Ok(slo::plot),
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -4,11 +4,11 @@
 
 use geraniumgauge::document;
 
+use crate::call;
 use crate::failure;
-use crate::verbs;
 
 /// Prints every finding of a document or a layout.
-pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
+pub(crate) async fn run(call: call::Call) -> Result<(), failure::Failure> {
     let file = call.argument(0);
     let text = read(file)?;
     if call.has("--layout") {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 
 mod apply;
 mod burn;
+mod call;
 mod check;
 mod failure;
 mod marks;
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -5,13 +5,13 @@
 use geraniumgauge::ids;
 use geraniumgauge::store;
 
+use crate::call;
 use crate::failure;
 use crate::status;
-use crate::verbs;
 
 /// Prints the document's text under a comment with its version and generation,
 /// so that what is printed can be edited and applied.
-pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
+pub(crate) async fn run(call: call::Call) -> Result<(), failure::Failure> {
     let service = call.service()?;
     let store = call.store()?;
     let text = object(&store, &document::text_key(&service)).await?;
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -8,16 +8,16 @@
 use geraniumgauge::store::Api as _;
 use geraniumgauge::time;
 
+use crate::call;
 use crate::failure;
 use crate::marks;
 use crate::table;
-use crate::verbs;
 
 /// A status that nobody has refreshed for so long tells of the past.
 const STALE_S: u64 = 150;
 
 /// Prints what is in force and what was refused.
-pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
+pub(crate) async fn run(call: call::Call) -> Result<(), failure::Failure> {
     let service = call.service()?;
     let store = call.store()?;
     let status = match read(&store, &service).await? {
--- a/crates/cli/src/tests/verbs.rs
+++ b/crates/cli/src/tests/verbs.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn call(line: &str) -> Result<Call, failure::Failure> {
+fn call(line: &str) -> Result<call::Call, failure::Failure> {
     let mut words = line.split(' ');
     let name = words.next().unwrap();
     let verb = VERBS.iter().find(|verb| verb.name == name).unwrap();
--- a/crates/cli/src/unsettled.rs
+++ b/crates/cli/src/unsettled.rs
@@ -3,13 +3,13 @@
 use geraniumgauge::ledger;
 use geraniumgauge::time;
 
+use crate::call;
 use crate::failure;
 use crate::status;
 use crate::table;
-use crate::verbs;
 
 /// Lists registrations whose end isn't known.
-pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
+pub(crate) async fn run(call: call::Call) -> Result<(), failure::Failure> {
     let service = call.service()?;
     let store = call.store()?;
     status::known(&store, &service).await?;
--- a/crates/cli/src/verbs.rs
+++ b/crates/cli/src/verbs.rs
@@ -1,18 +1,13 @@
 //! The table of verbs: names, arguments, flags and examples, and the reading of
 //! the command line by it.
 
-use std::env;
 use std::ffi;
 use std::future;
 use std::pin;
 
-use geraniumgauge::ids;
-use geraniumgauge::metrics;
-use geraniumgauge::store;
-use geraniumgauge::time;
-
 use crate::apply;
 use crate::burn;
+use crate::call;
 use crate::check;
 use crate::failure;
 use crate::show;
@@ -20,9 +15,6 @@
 use crate::unsettled;
 use crate::vms;
 
-/// Names the store where `--store` isn't given.
-const STORE: &str = "GERANIUMGAUGE_STORE";
-
 /// One verb of the command.
 pub(crate) struct Verb {
     name: &'static str,
@@ -43,7 +35,7 @@
 }
 
 type Outcome = Result<(), failure::Failure>;
-type Run = fn(Call) -> pin::Pin<Box<dyn future::Future<Output = Outcome>>>;
+type Run = fn(call::Call) -> pin::Pin<Box<dyn future::Future<Output = Outcome>>>;
 
 const JSON: Flag = Flag {
     name: "--json",
@@ -138,14 +130,6 @@
     },
 ];
 
-/// One call of the command, read by its verb.
-pub(crate) struct Call {
-    verb: &'static Verb,
-    arguments: Vec<String>,
-    flags: Vec<(&'static str, String)>,
-    store: Option<String>,
-}
-
 /// Reads the command line and runs its verb.
 pub(crate) fn run(arguments: Vec<ffi::OsString>) -> Outcome {
     let mut input = pico_args::Arguments::from_vec(arguments);
@@ -183,7 +167,7 @@
     verb: &'static Verb,
     mut input: pico_args::Arguments,
     store: Option<String>,
-) -> Result<Call, failure::Failure> {
+) -> Result<call::Call, failure::Failure> {
     let wrong = |error: pico_args::Error| usage(error, Some(verb));
     let mut flags = Vec::new();
     for flag in verb.flags {
@@ -213,11 +197,11 @@
         let message = format!("give {wanted}; {} were given", arguments.len());
         return Err(usage(message, Some(verb)));
     }
-    Ok(Call {
-        verb,
+    Ok(call::Call {
         arguments,
         flags,
         store,
+        help: verb.page(),
     })
 }
 
@@ -228,56 +212,6 @@
     }
 }
 
-impl Call {
-    /// The argument at `index`; the verb's table says how many there are.
-    pub(crate) fn argument(&self, index: usize) -> &str {
-        self.arguments.get(index).map_or("", String::as_str)
-    }
-
-    /// The service that the first argument names.
-    pub(crate) fn service(&self) -> Result<ids::Service, failure::Failure> {
-        let parsed = self.argument(0).parse::<ids::Service>();
-        parsed.map_err(|error| self.usage(error))
-    }
-
-    /// Whether a switch is given.
-    pub(crate) fn has(&self, flag: &str) -> bool {
-        self.flags.iter().any(|(name, _)| *name == flag)
-    }
-
-    /// The value of a flag, where it is given.
-    pub(crate) fn value<T>(&self, flag: &str) -> Result<Option<T>, failure::Failure>
-    where
-        T: std::str::FromStr<Err: std::fmt::Display>,
-    {
-        let given = self.flags.iter().find(|(name, _)| *name == flag);
-        let parsed = given.map(|(_, value)| value.parse()).transpose();
-        parsed.map_err(|error: T::Err| self.usage(format!("{flag}: {error}")))
-    }
-
-    /// A usage error of this verb.
-    pub(crate) fn usage(&self, message: impl std::fmt::Display) -> failure::Failure {
-        usage(message, Some(self.verb))
-    }
-
-    /// A client of the store that `--store` or the environment names.
-    pub(crate) fn store(&self) -> Result<store::Client, failure::Failure> {
-        let url = self.store.clone().or_else(|| env::var(STORE).ok());
-        let url = url.ok_or_else(|| {
-            self.usage(format!(
-                "name the platform's object API by --store URL or {STORE}"
-            ))
-        })?;
-        let failed = |error: String| failure::Failure::Refused(error);
-        let meter = metrics::Metrics::new().map_err(|error| failed(error.to_string()))?;
-        Ok(store::Client::new(
-            url,
-            time::Clock::start(),
-            &meter.meter(),
-        )?)
-    }
-}
-
 impl Verb {
     fn synopsis(&self) -> String {
         let mut words = vec!["geraniumgauge".to_owned(), self.name.to_owned()];
@@ -318,9 +252,10 @@
         page.push_str(&format!("  {synopsis}\n      {about}\n      {example}\n"));
     }
     page.push_str(&format!(
-        "\n  --store URL\n      the platform's object API; default: the environment's {STORE}\n\n\
+        "\n  --store URL\n      the platform's object API; default: the environment's {store}\n\n\
          Exit status: 0 fine, 1 refused, conflict or store failure, 2 usage.\n\
-         `geraniumgauge VERB --help` tells more."
+         `geraniumgauge VERB --help` tells more.",
+        store = call::STORE,
     ));
     page
 }
--- a/crates/cli/src/vms.rs
+++ b/crates/cli/src/vms.rs
@@ -8,10 +8,10 @@
 use geraniumgauge::store::Api as _;
 use geraniumgauge::time;
 
+use crate::call;
 use crate::failure;
 use crate::show;
 use crate::table;
-use crate::verbs;
 
 /// One VM as the platform lists it and as the keeper hears from it.
 #[derive(Debug)]
@@ -29,7 +29,7 @@
 }
 
 /// Prints the platform's list beside what VMs report.
-pub(crate) async fn run(call: verbs::Call) -> Result<(), failure::Failure> {
+pub(crate) async fn run(call: call::Call) -> Result<(), failure::Failure> {
     let store = call.store()?;
     let listed = store.vms().await?;
     let object = show::object(&store, document::REPORTED).await?;
--- a/crates/geraniumgauge/src/query/replica.rs
+++ b/crates/geraniumgauge/src/query/replica.rs
@@ -8,7 +8,6 @@
 
 use crate::ids;
 use crate::mesh::message;
-use crate::query::version;
 use crate::time as clock;
 
 const ORDER: atomic::Ordering = atomic::Ordering::Relaxed;
@@ -49,6 +48,15 @@
 /// no reason to leave a replica.
 const OUTLIER: u64 = 4;
 
+/// The versions that a replica offers, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Range {
+    /// The oldest.
+    pub oldest: ids::IndexVersion,
+    /// The newest.
+    pub newest: ids::IndexVersion,
+}
+
 /// What this entry has seen of one replica.
 #[derive(Debug, Default)]
 pub struct Stats {
@@ -147,11 +155,11 @@
     }
 
     /// The versions it offers, where that is known.
-    pub fn range(&self, now: clock::Moment) -> Option<version::Range> {
+    pub fn range(&self, now: clock::Moment) -> Option<Range> {
         let newest = self.newest.load(ORDER);
         let ranged = clock::Moment(self.ranged.load(ORDER));
         let known = newest > 0 && now.since(ranged) < RANGE_FOR;
-        known.then(|| version::Range {
+        known.then(|| Range {
             oldest: ids::IndexVersion(self.oldest.load(ORDER)),
             newest: ids::IndexVersion(newest),
         })
--- a/crates/geraniumgauge/src/query/version.rs
+++ b/crates/geraniumgauge/src/query/version.rs
@@ -4,15 +4,6 @@
 use crate::query::plan;
 use crate::time as clock;
 
-/// The versions that a replica offers, both ends included.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Range {
-    /// The oldest.
-    pub oldest: ids::IndexVersion,
-    /// The newest.
-    pub newest: ids::IndexVersion,
-}
-
 /// A version and how many of the shards asked can offer it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pick {
