No work for shares of nothing; one look at the socket a message

The share of declined calls was reckoned on each reply and each choice though nearly all upstreams decline nothing, and each message of another VM cost a second look for more.

--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -128,6 +128,11 @@
             Ok(frame) => batch.extend(frame.kind),
             Err(error) => return Some(io::Error::new(io::ErrorKind::InvalidData, error)),
         }
+        // Mostly one message comes at a time, and asking for more would cost
+        // another look at the socket for nothing.
+        if frames.read_buffer().is_empty() {
+            return None;
+        }
         next = match frames.next().now_or_never() {
             Some(next) => next,
             None => return None,
--- a/crates/geraniumgauge/src/forward/standing.rs
+++ b/crates/geraniumgauge/src/forward/standing.rs
@@ -32,6 +32,8 @@
 /// Weight of the newest call in the running share of calls that were declined.
 /// At ten calls a second to an upstream it follows a change within a second.
 const NEWEST_DECLINED: f64 = 0.1;
+/// A share that counts as none: it would cost less than half a millisecond.
+const NOTHING_DECLINED: f64 = 0.003;
 /// How fast that share is forgotten while an upstream gets no calls: a third is
 /// left after this time, and it is tried again.
 const FORGET_DECLINED: time::Duration = time::Duration::from_millis(4000);
@@ -161,6 +163,11 @@
     }
 
     fn learn_declined(&mut self, sample: f64, now: clock::Moment) {
+        if self.declined + sample < NOTHING_DECLINED {
+            // Each reply comes here, and nearly all upstreams decline nothing.
+            self.declined = 0.0;
+            return;
+        }
         let before = self.declined(now);
         self.declined = before + NEWEST_DECLINED * (sample - before);
         self.declined_seen = now;
@@ -178,6 +185,9 @@
     /// fast: what it does take it answers at once. Chosen as often as its
     /// sibling, it uses up the budget of extra calls, and then searches fail.
     pub fn decline_cost(&self, now: clock::Moment) -> time::Duration {
+        if self.declined < NOTHING_DECLINED {
+            return time::Duration::ZERO;
+        }
         DECLINED.mul_f64(self.declined(now))
     }
 
