--- a/crates/geraniumgauge/src/quarantine/trial.rs
+++ b/crates/geraniumgauge/src/quarantine/trial.rs
@@ -4,9 +4,9 @@
 //! One object a service, `quarantine/{service}`, holds its marks and the trials
 //! that run. Every change is a conditional update, so two VMs can't both start
 //! one of the same request, nor two that could take all replicas of a shard. A
-//! trial is claimed before it is sent and never claimed again for the same mark: a holder that was paused, or died, after its claim may have
-//! crashed an upstream, so a claim that lapsed without an outcome counts as a
-//! crash.
+//! trial is claimed before it is sent and never claimed again for the same mark:
+//! a holder that was paused, or died, after its claim may have crashed an
+//! upstream, so a claim that lapsed without an outcome counts as a crash.
 
 use std::time;
 
