--- a/crates/geraniumgauge/src/forward/budget.rs
+++ b/crates/geraniumgauge/src/forward/budget.rs
@@ -62,7 +62,7 @@
     }
 
     /// Whether an extra call could be made now.
-    fn room(&mut self, policy: &forward::Policy, vms: usize, now: clock::Moment) -> bool {
+    pub fn room(&mut self, policy: &forward::Policy, vms: usize, now: clock::Moment) -> bool {
         self.turn(policy.extra_window, now);
         let fixed = policy.extra_calls / vms.max(1) as f64;
         let mut extras = 1;
