--- a/crates/geraniumgauge/src/edge/count.rs
+++ b/crates/geraniumgauge/src/edge/count.rs
@@ -17,6 +17,7 @@
     call_seconds: metrics::Histogram<f64>,
     connections: metrics::Counter<u64>,
     missing: metrics::Counter<u64>,
+    frame_late: metrics::Histogram<f64>,
 }
 
 impl Count {
@@ -49,6 +50,10 @@
                 "edge_connections",
                 "Connections to upstreams opened, by outcome",
             ),
+            frame_late: seconds(
+                "edge_frame_late",
+                "How late frames of VMs that make calls for this one came",
+            ),
             missing: counter("edge_missing_shards", "Shards left out of merged answers"),
         }
     }
@@ -67,11 +72,17 @@
         self.missing.add(shards as u64, &[]);
     }
 
+    /// A frame of a VM that makes calls for this one came so late.
+    pub fn frame_late(&self, late: time::Duration) {
+        self.frame_late.record(late.as_secs_f64(), &[]);
+    }
+
     /// A call began.
     pub fn call(&self, why: forward::Why) {
         let why = match why {
             forward::Why::First => "first",
             forward::Why::Hedge => "hedge",
+            forward::Why::Silent => "silent",
             forward::Why::NotRun => "not_run",
             forward::Why::Failed => "failed",
         };
--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -191,6 +191,14 @@
     /// The greatest records of the good replies among them, falling.
     #[prost(bytes = "bytes", tag = "2")]
     pub(super) records: bytes::Bytes,
+    /// The ids of the other calls of the same request, which have no reply: told
+    /// where replies are merged.
+    #[prost(uint64, repeated, tag = "3")]
+    pub(super) out: Vec<u64>,
+    /// How late the frame was to be sent after the request for the calls was
+    /// read, in microseconds; 0 where it tells of a single call.
+    #[prost(uint64, tag = "4")]
+    pub(super) due_us: u64,
 }
 
 /// How one call ended.
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -178,6 +178,12 @@
         Some((outcome, running.job))
     }
 
+    /// Whether [`Self::tick`] is to hedge a request next.
+    pub(super) fn hedges_next(&self, id: u64) -> bool {
+        let running = self.running.get(&id);
+        running.is_some_and(|running| running.job.hedges_next())
+    }
+
     /// When [`Self::tick`] is to be called for a request.
     pub(super) fn wake_at(&self, id: u64) -> Option<clock::Moment> {
         self.running.get(&id).map(|running| running.job.wake_at())
@@ -218,6 +224,7 @@
             match action {
                 forward::Action::Send(send) => sends.push(send),
                 forward::Action::Abandon(call) => self.orphan(call, now),
+                forward::Action::Silent(call) => self.helper_silent(call),
                 forward::Action::Finish(outcome) => {
                     if let Some(running) = self.running.get_mut(&id) {
                         running.outcome = Some(outcome);
@@ -252,7 +259,7 @@
                 call::Owner::Ask { ask, remote } => {
                     self.fleet.standing(call.upstream).end();
                     if call.orphan.is_none() {
-                        self.ask_ended(ask, remote, ended.verdict, took);
+                        self.ask_ended(ask, remote, ended.verdict, took, now);
                     }
                 }
                 call::Owner::Job { .. } if call.orphan.is_some() => {
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -145,6 +145,7 @@
         }
         self.relays.asked(address, now);
         running.relayed.extend(sends.iter().map(|send| send.call));
+        running.job.handed(&sends, merge + self.relays.lateness());
         for send in sends {
             self.count.call(send.why);
             self.tell_extra(&message, &send, now);
@@ -242,6 +243,8 @@
         now: clock::Moment,
     ) {
         self.relays.told(address);
+        self.take_lateness(&told, now);
+        let out: Vec<ids::Attempt> = told.out.iter().copied().map(ids::Attempt).collect();
         let good = told.ends.iter().filter(|end| end.how() == frame::How::Good);
         let group = good.clone().count() > 1;
         // Merged records can't be taken apart: where one of the calls isn't
@@ -279,6 +282,50 @@
             self.end(id, verdict, at);
         }
         self.settle(now);
+        self.still_out(&out, now);
+    }
+
+    /// Learns from a frame how late frames of other VMs come.
+    fn take_lateness(&mut self, told: &frame::Told, now: clock::Moment) {
+        if told.due_us == 0 {
+            return;
+        }
+        let ids = told.ends.iter().map(|end| &end.id).chain(&told.out);
+        let call = ids.filter_map(|id| self.calls.get(&ids::Attempt(*id)));
+        let Some(began) = call.map(|call| call.began).next() else {
+            return;
+        };
+        let due = began + time::Duration::from_micros(told.due_us);
+        let late = now.since(due);
+        self.relays.came_late(late);
+        self.count.frame_late(late);
+    }
+
+    /// Another VM tells that these calls have no reply yet.
+    fn still_out(&mut self, calls: &[ids::Attempt], now: clock::Moment) {
+        let owner = calls.iter().find_map(|id| match self.calls.get(id)?.owner {
+            call::Owner::Job { job, .. } => Some(job),
+            call::Owner::Ask { .. } => None,
+        });
+        let Some((id, running)) = owner.and_then(|id| Some((id, self.running.get_mut(&id)?)))
+        else {
+            return;
+        };
+        let mut actions = Vec::new();
+        running
+            .job
+            .still_out(calls, &mut self.fleet, now, &mut actions);
+        // Its task waits for a later point in time.
+        running.done.notify_one();
+        self.act(id, actions, now);
+        self.settle(now);
+    }
+
+    /// The VM that was asked to make a call hasn't told of it in time.
+    pub(super) fn helper_silent(&mut self, call: ids::Attempt) {
+        if let Some(address) = self.calls.get(&call).and_then(|call| call.via) {
+            self.relays.silent(address);
+        }
     }
 
     /// Makes a call that another VM can't: it is cut off from the store and
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -24,6 +24,10 @@
     pending: collections::HashMap<u64, ids::Attempt>,
     /// Good replies that wait to be merged.
     good: Vec<(frame::End, bytes::Bytes)>,
+    /// When it was read.
+    read_at: clock::Moment,
+    /// How long after that the good replies are merged and told.
+    merge_after: time::Duration,
     /// Whether replies are told at once.
     merged: bool,
 }
@@ -88,6 +92,8 @@
                 top: ask.top as usize,
                 pending: collections::HashMap::with_capacity(ask.calls.len()),
                 good: Vec::with_capacity(ask.calls.len()),
+                read_at: now,
+                merge_after: time::Duration::from_micros(ask.merge_us),
                 merged: ask.merge_us == 0,
             },
         );
@@ -126,7 +132,7 @@
                     registry::Unnamed::Unknown => frame::How::Unknown,
                     registry::Unnamed::Leaving => frame::How::NotSent,
                 };
-                self.tell_end(ask, frame::End::new(wanted.id, how));
+                self.tell_end(ask, frame::End::new(wanted.id, how), now);
                 return;
             }
         };
@@ -164,6 +170,7 @@
         remote: u64,
         verdict: forward::Verdict,
         took: time::Duration,
+        now: clock::Moment,
     ) {
         let Some(ask) = self.peers.asks.get_mut(&id) else {
             return;
@@ -184,16 +191,16 @@
                 end.signature = reply.signature.unwrap_or_default();
                 ask.good.push((end, reply.body));
                 if ask.merged || ask.pending.is_empty() {
-                    self.tell_good(id);
+                    self.tell_good(id, now);
                 }
             }
-            None => self.tell_end(id, end),
+            None => self.tell_end(id, end, now),
         }
     }
 
     /// Tells the end of a call without a good reply at once: whoever asked may
     /// call another upstream.
-    fn tell_end(&mut self, id: u64, end: frame::End) {
+    fn tell_end(&mut self, id: u64, end: frame::End, now: clock::Moment) {
         let Some(ask) = self.peers.asks.get_mut(&id) else {
             return;
         };
@@ -201,33 +208,48 @@
         let peer = ask.peer;
         let told = frame::Told {
             ends: vec![end],
-            records: bytes::Bytes::new(),
+            ..frame::Told::default()
         };
         self.tell(peer, told);
-        self.tell_good_if_last(id);
+        self.tell_good_if_last(id, now);
     }
 
-    fn tell_good_if_last(&mut self, id: u64) {
+    fn tell_good_if_last(&mut self, id: u64, now: clock::Moment) {
         let last = self
             .peers
             .asks
             .get(&id)
             .is_some_and(|ask| ask.pending.is_empty());
         if last {
-            self.tell_good(id);
+            self.tell_good(id, now);
         }
     }
 
-    /// The time to merge what came has come.
+    /// The time to merge what came has come: tells it, and which calls are out.
     pub(in crate::edge) fn merge(&mut self, id: u64) {
-        if let Some(ask) = self.peers.asks.get_mut(&id) {
-            ask.merged = true;
-            self.tell_good(id);
-        }
+        let Some(ask) = self.peers.asks.get_mut(&id) else {
+            return;
+        };
+        ask.merged = true;
+        let out = ask.pending.keys().copied().collect();
+        let due = ask.merge_after;
+        self.tell_merged(id, out, due);
     }
 
     /// Tells the good replies that came, as one.
-    fn tell_good(&mut self, id: u64) {
+    fn tell_good(&mut self, id: u64, now: clock::Moment) {
+        let Some(ask) = self.peers.asks.get(&id) else {
+            return;
+        };
+        let due = if ask.merged {
+            time::Duration::ZERO
+        } else {
+            now.since(ask.read_at)
+        };
+        self.tell_merged(id, Vec::new(), due);
+    }
+
+    fn tell_merged(&mut self, id: u64, out: Vec<u64>, due: time::Duration) {
         let Some(ask) = self.peers.asks.get_mut(&id) else {
             return;
         };
@@ -236,13 +258,15 @@
         if ask.pending.is_empty() {
             self.peers.asks.remove(&id);
         }
-        if good.is_empty() {
+        if good.is_empty() && out.is_empty() {
             return;
         }
         let records = forward::top(good.iter().map(|(_, body)| body.as_ref()), top);
         let told = frame::Told {
             ends: good.into_iter().map(|(end, _)| end).collect(),
             records: records.into(),
+            out,
+            due_us: clock::micros(due),
         };
         self.tell(peer, told);
     }
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -60,7 +60,7 @@
             registry: registry::Registry::default(),
             policy,
             blame: forward::Blame::default(),
-            lag: forward::Lag::default(),
+            lag: forward::Lag::usual(),
             own,
             standings: Vec::new(),
             budgets: collections::HashMap::new(),
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -1,9 +1,12 @@
 //! Which calls a job makes, and when a part is done or given up.
 
+use std::time;
+
 use crate::forward;
 use crate::forward::job;
 use crate::forward::part;
 use crate::h1;
+use crate::ids;
 use crate::route;
 use crate::time as clock;
 
@@ -49,6 +52,7 @@
             id,
             upstream,
             began: now,
+            known: part::Known::Out,
         });
         part.hedge_at = None;
         let repeatable = self.entry.route.repeat == route::Repeat::Idempotent;
@@ -120,11 +124,66 @@
                 continue;
             }
             part.hedge_at = None;
+            let mut why = forward::Why::Hedge;
             for call in &part.calls {
-                fleet.standing(call.upstream).late();
+                match call.known {
+                    part::Known::Out => fleet.standing(call.upstream).late(),
+                    // Its upstream may have replied in time.
+                    part::Known::Handed => {
+                        why = forward::Why::Silent;
+                        actions.push(forward::Action::Silent(call.id));
+                    }
+                }
+            }
+            self.call(place, why, fleet, now, actions);
+        }
+    }
+
+    /// Other VMs make these calls, and tell after `told_after` which of them are
+    /// out. Until then a part isn't late: its reply may wait in a frame that is
+    /// on its way, and hedging by this VM's clock alone would hedge all parts of
+    /// a frame that comes a few milliseconds late.
+    pub fn handed(&mut self, calls: &[forward::Send], told_after: time::Duration) {
+        let latest = self.entry.route.aim.mul_f64(job::LATEST);
+        let wait = told_after.min(latest).max(self.hedge_after);
+        for send in calls {
+            let Some(part) = self.parts.get_mut(send.part) else {
+                continue;
+            };
+            let Some(call) = part.calls.iter_mut().find(|call| call.id == send.call) else {
+                continue;
+            };
+            call.known = part::Known::Handed;
+            if part.hedge_at.is_some() {
+                part.hedge_at = Some(call.began + wait);
+            }
+        }
+        self.plan_hedges();
+    }
+
+    /// Another VM tells that these of its calls have no reply: their parts are
+    /// hedged at their hedge points.
+    pub fn still_out(
+        &mut self,
+        calls: &[ids::Attempt],
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        if self.finished {
+            return;
+        }
+        for part in self.parts.iter_mut().filter(|part| part.is_open()) {
+            let Some(call) = part.calls.iter_mut().find(|call| calls.contains(&call.id)) else {
+                continue;
+            };
+            call.known = part::Known::Out;
+            if part.hedge_at.is_some() {
+                part.hedge_at = Some(call.began + self.hedge_after);
             }
-            self.call(place, forward::Why::Hedge, fleet, now, actions);
         }
+        self.hedge(fleet, now, actions);
+        self.plan_hedges();
     }
 
     pub(super) fn plan_hedges(&mut self) {
--- a/crates/geraniumgauge/src/forward/lag.rs
+++ b/crates/geraniumgauge/src/forward/lag.rs
@@ -1,26 +1,49 @@
-//! How late this process acts on its own timers.
+//! How late things come that were due at a known point in time.
 
 use std::time;
 
-/// Weights by which the estimate follows later and earlier turns: together they
-/// keep it at about the ninth of ten.
-const UP: f64 = 0.18;
-const DOWN: f64 = 0.02;
-/// Largest estimate. Beyond it, answering earlier wouldn't help any more.
+/// Largest estimate. Beyond it, acting on it wouldn't help any more.
 const MOST: time::Duration = time::Duration::from_millis(20);
 
-/// A running estimate of the time between a timer's point and the turn in which
-/// it is handled. On a part of a core, a turn has to wait for the others.
-#[derive(Debug, Clone, Copy, Default)]
+/// A running estimate of how late most of something comes: this process's own
+/// turns after a timer's point, or the messages of another VM. On a part of a
+/// core, a turn has to wait for the others.
+#[derive(Debug, Clone, Copy)]
 pub struct Lag {
     seconds: f64,
+    /// Weights by which the estimate follows later and earlier ones: their ratio
+    /// says which part of all it keeps above.
+    up: f64,
+    down: f64,
 }
 
 impl Lag {
-    /// Takes how late one turn came.
+    /// Nine of ten come by the estimate.
+    pub fn usual() -> Self {
+        Self {
+            seconds: 0.0,
+            up: 0.18,
+            down: 0.02,
+        }
+    }
+
+    /// Some 97 of 100 come by the estimate.
+    pub fn rare() -> Self {
+        Self {
+            seconds: MOST.as_secs_f64() / 2.0,
+            up: 0.16,
+            down: 0.005,
+        }
+    }
+
+    /// Takes how late one came.
     pub fn add(&mut self, late: time::Duration) {
         let late = late.min(MOST).as_secs_f64();
-        let weight = if late > self.seconds { UP } else { DOWN };
+        let weight = if late > self.seconds {
+            self.up
+        } else {
+            self.down
+        };
         self.seconds += weight * (late - self.seconds);
     }
 
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -86,9 +86,12 @@
     /// It is the part's first.
     #[display("first")]
     First,
-    /// The one before is late.
+    /// The upstream of the one before is late.
     #[display("hedge")]
     Hedge,
+    /// The VM that was asked to make the one before tells nothing of it.
+    #[display("silent")]
+    Silent,
     /// The one before wasn't run.
     #[display("not_run")]
     NotRun,
@@ -104,6 +107,8 @@
     Send(Send),
     /// Nobody waits for this call any more.
     Abandon(ids::Attempt),
+    /// The VM that was asked to make this call is silent.
+    Silent(ids::Attempt),
     /// The job is over.
     Finish(Outcome),
 }
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -16,6 +16,16 @@
     pub(super) id: ids::Attempt,
     pub(super) upstream: registry::Handle,
     pub(super) began: clock::Moment,
+    pub(super) known: Known,
+}
+
+/// What is known of a call while it has no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Known {
+    /// That its upstream hasn't replied.
+    Out,
+    /// Nothing yet: another VM makes it, and may have its reply already.
+    Handed,
 }
 
 /// How a part stands.
--- a/crates/geraniumgauge/src/forward/relay.rs
+++ b/crates/geraniumgauge/src/forward/relay.rs
@@ -9,6 +9,7 @@
 use std::net;
 use std::time;
 
+use crate::forward;
 use crate::ids;
 use crate::time as clock;
 
@@ -52,6 +53,8 @@
     helper: Helper,
     connected: bool,
     waiting_since: Option<clock::Moment>,
+    /// Whether a frame of it is overdue.
+    silent: bool,
     /// Until when it is told the addresses of upstreams.
     lacks_until: clock::Moment,
 }
@@ -72,6 +75,7 @@
     power: f64,
     known: Vec<Known>,
     turn: usize,
+    lateness: forward::Lag,
 }
 
 impl Relays {
@@ -82,6 +86,7 @@
             power,
             known: Vec::new(),
             turn: 0,
+            lateness: forward::Lag::rare(),
         }
     }
 
@@ -96,6 +101,7 @@
             Known {
                 connected: same.is_some_and(|known| known.connected),
                 waiting_since: same.and_then(|known| known.waiting_since),
+                silent: same.is_some_and(|known| known.silent),
                 lacks_until: same.map_or_else(Default::default, |known| known.lacks_until),
                 helper,
             }
@@ -121,10 +127,15 @@
             return None;
         }
         self.turn = self.turn.wrapping_add(1);
-        let able: Vec<&Known> = self
+        let mut able: Vec<&Known> = self
             .in_place(data_centre)
             .filter(|known| self.suits(&known.helper) && known.answers(now))
             .collect();
+        // A late frame may be all that is wrong with a silent VM: it is still
+        // better than many calls of a small VM's own.
+        if able.iter().any(|known| !known.silent) {
+            able.retain(|known| !known.silent);
+        }
         let chosen = able.get(self.turn % able.len().max(1))?;
         Some(chosen.helper.address)
     }
@@ -134,6 +145,7 @@
         if let Some(known) = self.find(address) {
             known.connected = true;
             known.waiting_since = None;
+            known.silent = false;
         }
     }
 
@@ -142,6 +154,7 @@
         if let Some(known) = self.find(address) {
             known.connected = false;
             known.waiting_since = None;
+            known.silent = false;
         }
     }
 
@@ -152,10 +165,30 @@
         }
     }
 
+    /// A frame of a VM is overdue: others are asked first until it answers. One
+    /// that froze would cost each search that it is asked for the same wait.
+    pub fn silent(&mut self, address: net::SocketAddr) {
+        if let Some(known) = self.find(address) {
+            known.silent = true;
+        }
+    }
+
+    /// A frame came so much later than it was to be sent.
+    pub fn came_late(&mut self, late: time::Duration) {
+        self.lateness.add(late);
+    }
+
+    /// How late nearly all frames of other VMs come: the way there and back, and
+    /// both VMs' own lag.
+    pub fn lateness(&self) -> time::Duration {
+        self.lateness.get()
+    }
+
     /// A VM has answered.
     pub fn told(&mut self, address: net::SocketAddr) {
         if let Some(known) = self.find(address) {
             known.waiting_since = None;
+            known.silent = false;
         }
     }
 
--- a/crates/geraniumgauge/src/forward/tests/mod.rs
+++ b/crates/geraniumgauge/src/forward/tests/mod.rs
@@ -1,5 +1,6 @@
 mod blame;
 mod budget;
+mod hedge;
 mod job;
 mod merge;
 mod relay;
--- a/crates/geraniumgauge/src/forward/tests/relay.rs
+++ b/crates/geraniumgauge/src/forward/tests/relay.rs
@@ -125,3 +125,24 @@
         assert!(sum <= f64::from(limit), "{sum} of {limit}");
     }
 }
+
+/// Story: one of two large VMs freezes. The first search that it is asked for
+/// finds its frame overdue; those after it must not wait for the same. Where it
+/// is the only one, it is asked all the same: making ninety calls takes a small
+/// VM longer than a late frame does.
+#[test]
+fn a_silent_vm_is_asked_last_until_it_answers() {
+    let fleet = vec![helper(1, "b", 0.5), helper(2, "b", 0.5)];
+    let mut relays = relays(0.12, fleet);
+    let place = "b".parse().expect("a name");
+    relays.silent(address(1));
+    for _ in 0..4 {
+        assert_eq!(relays.choose(&place, 90, at(0)), Some(address(2)));
+    }
+    relays.silent(address(2));
+    assert!(relays.choose(&place, 90, at(0)).is_some());
+    relays.told(address(1));
+    for _ in 0..4 {
+        assert_eq!(relays.choose(&place, 90, at(0)), Some(address(1)));
+    }
+}
--- a/crates/geraniumgauge/src/forward/tests/world.rs
+++ b/crates/geraniumgauge/src/forward/tests/world.rs
@@ -17,6 +17,7 @@
     pub(super) now: clock::Moment,
     pub(super) sends: Vec<forward::Send>,
     pub(super) abandoned: Vec<crate::ids::Attempt>,
+    pub(super) silent: Vec<crate::ids::Attempt>,
     pub(super) outcome: Option<forward::Outcome>,
 }
 
@@ -58,6 +59,7 @@
             now,
             sends: Vec::new(),
             abandoned: Vec::new(),
+            silent: Vec::new(),
             outcome: None,
         }
     }
@@ -89,6 +91,14 @@
         self.now = self.now.max(until);
     }
 
+    /// Another VM tells that the call that was made as number `send` is out.
+    pub(super) fn still_out(&mut self, job: &mut forward::Job, send: usize) {
+        let calls = [self.sends[send].call];
+        let mut actions = Vec::new();
+        job.still_out(&calls, &mut self.fleet, self.now, &mut actions);
+        self.take(actions);
+    }
+
     /// Ends the call that was made as number `send`.
     pub(super) fn end(&mut self, job: &mut forward::Job, send: usize, verdict: forward::Verdict) {
         let send = self.sends[send];
@@ -108,6 +118,7 @@
             match action {
                 forward::Action::Send(send) => self.sends.push(send),
                 forward::Action::Abandon(call) => self.abandoned.push(call),
+                forward::Action::Silent(call) => self.silent.push(call),
                 forward::Action::Finish(outcome) => {
                     assert!(self.outcome.is_none(), "a job ends once");
                     self.outcome = Some(outcome);
