Large VMs hold half of the allowance of extra calls for the whole fleet

Hypothesis: divided evenly over 61 VMs, a service's allowance is there but not where it is needed. Now VMs that make the calls of small ones hold half of it, counted by the first calls they make; a small VM that has spent its part asks in the message that asks for the call. Fleets of equal VMs are as before.

Safe by each budget's own counts: a request counts once at the VM that took it and once where its first call is made; what a VM held ends with it, and one that has just started lends nothing for a window.

--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -144,6 +144,8 @@
         let wanted = {
             let mut state = self.state.borrow_mut();
             state.relays.set(helpers);
+            let parts = state.relays.parts();
+            state.fleet.set_parts(parts);
             state.relays.wanted()
         };
         for address in wanted {
--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -122,6 +122,13 @@
     /// The calls.
     #[prost(message, repeated, tag = "8")]
     pub(super) calls: Vec<Call>,
+    /// Whether they are the first ones of their parts: requests by which the VM
+    /// that is asked counts what it may pay.
+    #[prost(bool, tag = "9")]
+    pub(super) first: bool,
+    /// Whether the VM that is asked is to pay for them.
+    #[prost(bool, tag = "10")]
+    pub(super) unpaid: bool,
 }
 
 /// One call to make.
@@ -249,6 +256,8 @@
     NotSent = 5,
     /// Nothing was sent: the VM doesn't know the upstream.
     Unknown = 6,
+    /// Nothing was sent: the VM couldn't pay for it.
+    Unpaid = 7,
 }
 
 impl Frame {
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -330,7 +330,7 @@
         let entry = &self.fleet.registry.get(send.upstream).entry;
         log::info!(
             request = message.id.as_str(), service = entry.service.as_str(),
-            upstream = entry.id.as_str(), why:% = send.why,
+            upstream = entry.id.as_str(), why:% = send.why, payer:% = send.payer,
             left_ms = now.until(message.deadline).as_millis() as u64;
             "extra call"
         );
@@ -349,6 +349,7 @@
         forward::Verdict::NotRun => "not_run",
         forward::Verdict::Misdirected => "misdirected",
         forward::Verdict::NotSent => "not_sent",
+        forward::Verdict::Unpaid => "unpaid",
         forward::Verdict::Lost => "lost",
     }
 }
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -46,6 +46,7 @@
 struct Place {
     data_centre: ids::DataCentre,
     first: bool,
+    payer: forward::Payer,
 }
 
 impl state::State {
@@ -73,8 +74,10 @@
             let place = Place {
                 data_centre: upstream.data_centre.clone(),
                 first: send.why == forward::Why::First,
+                payer: send.payer,
             };
-            if !place.first && (!crowded || self.has_idle(send.upstream)) {
+            let paid = send.payer == forward::Payer::Own;
+            if !place.first && paid && (!crowded || self.has_idle(send.upstream)) {
                 own.push(send);
                 continue;
             }
@@ -92,21 +95,38 @@
             } else {
                 self.relays.choose(&place.data_centre, all, now)
             };
-            match helper {
-                Some(address) => own.extend(self.ask(job, address, sends, place.first, now)),
-                None => own.extend(sends),
+            let left = match helper {
+                Some(address) => self.ask(job, address, sends, &place, now),
+                None => sends,
+            };
+            match place.payer {
+                forward::Payer::Own => own.extend(left),
+                forward::Payer::Helper => self.unpaid(job, left, now),
             }
         }
         own
     }
 
+    /// Ends calls that no other VM can be asked to pay for.
+    fn unpaid(&mut self, job: u64, sends: Vec<forward::Send>, now: clock::Moment) {
+        let Some(running) = self.running.get(&job) else {
+            return;
+        };
+        let message = running.message.clone();
+        for send in sends {
+            let call = call::Call::new(owner(job, &send), send.upstream, message.clone(), now);
+            self.calls.insert(send.call, call);
+            self.end(send.call, forward::Verdict::Unpaid, now);
+        }
+    }
+
     /// Asks another VM to make calls; returns them where it can't be asked.
     fn ask(
         &mut self,
         job: u64,
         address: net::SocketAddr,
         sends: Vec<forward::Send>,
-        merged: bool,
+        place: &Place,
         now: clock::Moment,
     ) -> Vec<forward::Send> {
         let Some(running) = self.running.get_mut(&job) else {
@@ -119,7 +139,11 @@
             .saturating_sub(ON_TIME)
             .max(LEAST_MERGE);
         // Later calls are late already: each reply is told at once.
-        let merge = if merged { merge } else { time::Duration::ZERO };
+        let merge = if place.first {
+            merge
+        } else {
+            time::Duration::ZERO
+        };
         let with_address = self.relays.lacks(address, now);
         let registry = &self.fleet.registry;
         let ask = frame::Ask {
@@ -137,6 +161,8 @@
                     frame::Call::new(send.call, entry, with_address)
                 })
                 .collect(),
+            first: place.first,
+            unpaid: place.payer == forward::Payer::Helper,
         };
         let bytes = frame::Frame::bytes(frame::Kind::Ask(ask));
         let sender = self.peers.outgoing.get(&address);
@@ -149,11 +175,7 @@
         for send in sends {
             self.count.call(send.why);
             self.tell_extra(&message, &send, now);
-            let owner = call::Owner::Job {
-                job,
-                part: send.part,
-            };
-            let mut call = call::Call::new(owner, send.upstream, message.clone(), now);
+            let mut call = call::Call::new(owner(job, &send), send.upstream, message.clone(), now);
             call.via = Some(address);
             self.calls.insert(send.call, call);
         }
@@ -273,6 +295,7 @@
                 frame::How::NotRun => forward::Verdict::NotRun,
                 frame::How::Misdirected => forward::Verdict::Misdirected,
                 frame::How::NotSent => forward::Verdict::NotSent,
+                frame::How::Unpaid => forward::Verdict::Unpaid,
                 frame::How::Unknown => {
                     self.relays.missed(address, now);
                     self.call_directly(id, now);
@@ -364,3 +387,10 @@
         true
     }
 }
+
+fn owner(job: u64, send: &forward::Send) -> call::Owner {
+    call::Owner::Job {
+        job,
+        part: send.part,
+    }
+}
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -32,6 +32,15 @@
     merged: bool,
 }
 
+/// What calls for another VM are to the service's allowance of extra calls.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    /// They are the first ones of their parts.
+    first: bool,
+    /// This VM is to pay for them.
+    unpaid: bool,
+}
+
 impl state::State {
     /// Another VM has connected; the connection's number.
     pub(in crate::edge) fn peer_came(&mut self, sender: sender::Sender) -> u64 {
@@ -97,8 +106,12 @@
                 merged: ask.merge_us == 0,
             },
         );
+        let terms = Terms {
+            first: ask.first,
+            unpaid: ask.unpaid,
+        };
         for call in ask.calls {
-            self.call_for(id, &call, &message, now);
+            self.call_for(id, &call, terms, &message, now);
         }
         if ask.merge_us > 0 {
             let at = now + time::Duration::from_micros(ask.merge_us);
@@ -111,6 +124,7 @@
         &mut self,
         ask: u64,
         wanted: &frame::Call,
+        terms: Terms,
         message: &rc::Rc<call::Message>,
         now: clock::Moment,
     ) {
@@ -136,6 +150,9 @@
                 return;
             }
         };
+        if !self.is_paid(upstream, terms, now) {
+            return self.tell_end(ask, frame::End::new(wanted.id, frame::How::Unpaid), now);
+        }
         self.peers.made += 1;
         self.fleet.standing(upstream).start();
         let owner = call::Owner::Ask {
@@ -148,6 +165,16 @@
         self.dispatch(upstream, now);
     }
 
+    /// Counts another VM's call to an upstream, and pays for it where this VM is
+    /// to; whether it may be made.
+    fn is_paid(&mut self, upstream: registry::Handle, terms: Terms, now: clock::Moment) -> bool {
+        let service = self.fleet.registry.get(upstream).entry.service.clone();
+        if terms.first {
+            self.fleet.first_of_other(&service, now);
+        }
+        !terms.unpaid || self.fleet.lend(&service, now)
+    }
+
     /// Another VM doesn't wait for these calls any more.
     pub(in crate::edge) fn left(&mut self, peer: u64, calls: &[u64], now: clock::Moment) {
         let mut left = Vec::new();
@@ -182,6 +209,7 @@
             forward::Verdict::NotRun => (frame::How::NotRun, None),
             forward::Verdict::Misdirected => (frame::How::Misdirected, None),
             forward::Verdict::NotSent => (frame::How::NotSent, None),
+            forward::Verdict::Unpaid => (frame::How::Unpaid, None),
             forward::Verdict::Lost => (frame::How::Lost, None),
         };
         let mut end = frame::End::new(remote, how);
--- a/crates/geraniumgauge/src/forward/budget.rs
+++ b/crates/geraniumgauge/src/forward/budget.rs
@@ -16,11 +16,30 @@
 /// which count for nothing, cover half a second of that.
 const USED: f64 = 0.97;
 
+/// The part of the fleet's allowance that one budget may spend.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Part {
+    /// Of the calls that are allowed whatever the load.
+    pub fixed: f64,
+    /// Of the calls that the requests counted in the budget allow.
+    pub share: f64,
+}
+
+impl Part {
+    /// What one of `vms` VMs may spend where each holds as much as any other.
+    pub fn of(vms: usize) -> Self {
+        Self {
+            fixed: 1.0 / vms.max(1) as f64,
+            share: 1.0,
+        }
+    }
+}
+
 /// Counts one service's requests and extra calls over two windows.
 ///
 /// Guards against retry storms: a slow or refusing service would draw more
-/// calls the worse it does. Every VM holds to its own part of the allowance,
-/// so the sum holds for the fleet without any message between VMs.
+/// calls the worse it does. Every budget holds to its own part of the allowance,
+/// so the sum holds for the fleet whatever VMs know of each other.
 ///
 /// The allowance of a window is a share of the requests in it or in the window
 /// before it, whichever has more. Before each extra call, every window that the
@@ -52,9 +71,14 @@
         self.firsts[self.place(0)] += 1;
     }
 
-    /// Counts an extra call where the allowance of one of `vms` VMs has room.
-    pub fn extra(&mut self, policy: &forward::Policy, vms: usize, now: clock::Moment) -> bool {
-        if !self.room(policy, vms, now) {
+    /// Counts an extra call where `part` of the allowance has room.
+    pub fn extra(
+        &mut self,
+        policy: &forward::Policy,
+        part: forward::Part,
+        now: clock::Moment,
+    ) -> bool {
+        if !self.room(policy, part, now) {
             return false;
         }
         self.extras[self.place(0)] += 1;
@@ -62,9 +86,10 @@
     }
 
     /// Whether an extra call could be made now.
-    pub fn room(&mut self, policy: &forward::Policy, vms: usize, now: clock::Moment) -> bool {
+    fn room(&mut self, policy: &forward::Policy, part: forward::Part, now: clock::Moment) -> bool {
         self.turn(policy.extra_window, now);
-        let fixed = policy.extra_calls / vms.max(1) as f64;
+        let fixed = policy.extra_calls * part.fixed;
+        let share = policy.extra_share.get() * part.share;
         let mut extras = 1;
         let mut within = 0;
         let mut before: u32 = (1..WINDOW).map(|age| self.firsts[self.place(age)]).sum();
@@ -74,7 +99,7 @@
         for age in 0..=WINDOW {
             extras += self.extras[self.place(age)];
             let both = f64::from(within + before);
-            let allowed = policy.extra_share.get() * both / 2.0 + fixed;
+            let allowed = share * both / 2.0 + fixed;
             if f64::from(extras) > USED * allowed {
                 return false;
             }
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -47,7 +47,7 @@
     pub lag: forward::Lag,
     own: Own,
     standings: Vec<forward::Standing>,
-    budgets: collections::HashMap<ids::Service, forward::Budget>,
+    allowance: forward::Allowance,
     times: collections::HashMap<String, rc::Rc<forward::Times>>,
     vms: usize,
     calls: u64,
@@ -63,7 +63,7 @@
             lag: forward::Lag::usual(),
             own,
             standings: Vec::new(),
-            budgets: collections::HashMap::new(),
+            allowance: forward::Allowance::default(),
             times: collections::HashMap::new(),
             vms: 1,
             calls: 0,
@@ -75,7 +75,7 @@
         &self.own
     }
 
-    /// VMs that may be alive: they share the budgets and connection limits.
+    /// VMs that may be alive: they share the connection limits.
     pub fn vms(&self) -> usize {
         self.vms
     }
@@ -114,22 +114,30 @@
         &mut self.standings[upstream.index()]
     }
 
+    /// Sets which parts of the fleet's allowance of extra calls this VM spends.
+    pub fn set_parts(&mut self, parts: forward::Parts) {
+        self.allowance.set_parts(parts);
+    }
+
     /// Counts a request to `service`.
     pub fn first(&mut self, service: &ids::Service, now: clock::Moment) {
-        if let Some(budget) = self.budgets.get_mut(service) {
-            budget.first(&self.policy, now);
-            return;
-        }
-        let mut budget = forward::Budget::default();
-        budget.first(&self.policy, now);
-        self.budgets.insert(service.clone(), budget);
+        self.allowance.first(service, &self.policy, now);
+    }
+
+    /// Pays for an extra call to `service`; who does, where anybody may.
+    pub fn extra(&mut self, service: &ids::Service, now: clock::Moment) -> Option<forward::Payer> {
+        self.allowance.extra(service, &self.policy, now)
+    }
+
+    /// Counts a request to `service` of another VM, whose first call this one
+    /// makes.
+    pub fn first_of_other(&mut self, service: &ids::Service, now: clock::Moment) {
+        self.allowance.first_of_other(service, &self.policy, now);
     }
 
-    /// Pays for an extra call to `service`, where its budget has room.
-    pub fn extra(&mut self, service: &ids::Service, now: clock::Moment) -> bool {
-        let (policy, vms) = (self.policy, self.vms);
-        let budget = self.budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.extra(&policy, vms, now))
+    /// Pays for another VM's extra call to `service`, where there is room.
+    pub fn lend(&mut self, service: &ids::Service, now: clock::Moment) -> bool {
+        self.allowance.lend(service, &self.policy, now)
     }
 
     /// Whether any upstream of `service` can be tried.
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -7,6 +7,7 @@
 use crate::forward::part;
 use crate::h1;
 use crate::ids;
+use crate::registry;
 use crate::route;
 use crate::time as clock;
 
@@ -37,12 +38,17 @@
             }
             return;
         };
-        if part.arrived && !fleet.extra(&part.service, now) {
+        let payer = if part.arrived {
+            fleet.extra(&part.service, now)
+        } else {
+            Some(forward::Payer::Own)
+        };
+        let Some(payer) = payer else {
             if part.calls.is_empty() {
                 self.fail(place, forward::Reason::NoRoom);
             }
             return;
-        }
+        };
         let id = fleet.next_call();
         fleet.standing(upstream).start();
         part.arrived = true;
@@ -64,6 +70,7 @@
             part: place,
             upstream,
             why,
+            payer,
         }));
     }
 
@@ -86,6 +93,17 @@
         self.again(place, forward::Why::NotRun, fleet, now, actions);
     }
 
+    /// A call wasn't made as nobody could pay for it: the service's allowance is
+    /// spent, and another try would meet the same.
+    pub(super) fn unpaid(&mut self, place: usize, upstream: registry::Handle) {
+        let part = &mut self.parts[place];
+        part.may_have_run -= 1;
+        part.tried.retain(|tried| *tried != upstream);
+        if part.calls.is_empty() {
+            self.fail(place, forward::Reason::NoRoom);
+        }
+    }
+
     /// Calls again after a call of the part ended without a reply of use.
     pub(super) fn again(
         &mut self,
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -211,6 +211,7 @@
                 self.not_run(place, fleet, now, actions);
             }
             forward::Verdict::NotSent => self.not_run(place, fleet, now, actions),
+            forward::Verdict::Unpaid => self.unpaid(place, call.upstream),
             forward::Verdict::Lost => {
                 standing.failed(now);
                 self.again(place, forward::Why::Failed, fleet, now, actions);
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! [`Fleet`] holds what all jobs of a VM share: which upstreams there are, how
 //! they did lately, and what may be spent on extra calls. No I/O.
 
+mod allowance;
 mod blame;
 mod budget;
 mod fleet;
@@ -16,8 +17,13 @@
 mod standing;
 mod times;
 
+pub use allowance::Allowance;
+pub use allowance::Parts;
+pub use allowance::Payer;
+pub use allowance::Rank;
 pub use blame::Blame;
 pub use budget::Budget;
+pub use budget::Part;
 pub use fleet::Fleet;
 pub use fleet::Orphan;
 pub use fleet::Own;
@@ -124,6 +130,8 @@
     pub upstream: registry::Handle,
     /// Why.
     pub why: Why,
+    /// Who pays for it, where it is an extra one.
+    pub payer: Payer,
 }
 
 /// The end of a call.
@@ -152,6 +160,8 @@
     Misdirected,
     /// It wasn't run: no byte of it was sent.
     NotSent,
+    /// It wasn't made: nobody could pay for it.
+    Unpaid,
     /// Its connection ended, or its reply can't be used: it may have run.
     Lost,
 }
--- a/crates/geraniumgauge/src/forward/relay.rs
+++ b/crates/geraniumgauge/src/forward/relay.rs
@@ -210,6 +210,31 @@
         FAR * limit / (sharers.count() + 1) as f64
     }
 
+    /// The parts of the fleet's allowance of extra calls that this VM spends.
+    pub fn parts(&self) -> forward::Parts {
+        let others = self.known.iter().map(|known| &known.helper);
+        let large = others.filter(|helper| self.is_large(&helper.data_centre, helper.power));
+        let own_large = self.is_large(&self.own, self.power);
+        let large = large.count() + usize::from(own_large);
+        let rank = match (own_large, large) {
+            (_, 0) => forward::Rank::Equal,
+            (true, _) => forward::Rank::Large,
+            (false, _) => forward::Rank::Small,
+        };
+        forward::Parts::new(rank, self.known.len() + 1, large)
+    }
+
+    /// Whether a VM makes calls for small ones. Each VM of a fleet finds the
+    /// same of any, as it depends on nothing but their powers.
+    fn is_large(&self, data_centre: &ids::DataCentre, power: f64) -> bool {
+        let others = self.known.iter().map(|known| known.helper.power);
+        let least = others.fold(self.power, f64::min);
+        let beside = self.in_place(data_centre).map(|known| known.helper.power);
+        let own = Some(self.power).filter(|_| *data_centre == self.own);
+        let most = beside.chain(own).fold(0.0, f64::max);
+        power >= POWERFUL * most && power >= LARGER * least
+    }
+
     /// Whether a VM beside this one makes its calls where they are many.
     fn has_larger_beside(&self) -> bool {
         let mut beside = self.in_place(&self.own);
--- a/crates/geraniumgauge/src/forward/tests/budget.rs
+++ b/crates/geraniumgauge/src/forward/tests/budget.rs
@@ -29,7 +29,7 @@
                 budget.first(&policy, now);
                 events.push((now, false));
             }
-            while budget.extra(&policy, VMS, now) {
+            while budget.extra(&policy, forward::Part::of(VMS), now) {
                 events.push((now, true));
             }
             now = now + time::Duration::from_millis(u64::from(pause % 3000));
@@ -61,7 +61,7 @@
             budget.first(&policy, start);
             budget.first(&policy, later);
         }
-        while budget.extra(&policy, VMS, later) {
+        while budget.extra(&policy, forward::Part::of(VMS), later) {
             extras += 1;
         }
     }
@@ -82,7 +82,7 @@
     for millis in 0..60_000 {
         let now = clock::Moment::from_millis(millis);
         budget.first(&policy, now);
-        extras += u32::from(budget.extra(&policy, VMS, now));
+        extras += u32::from(budget.extra(&policy, forward::Part::of(VMS), now));
     }
     assert!((8_000..=12_000).contains(&extras), "{extras} beside 60000");
 }
--- a/crates/geraniumgauge/src/forward/tests/mod.rs
+++ b/crates/geraniumgauge/src/forward/tests/mod.rs
@@ -1,3 +1,4 @@
+mod allowance;
 mod blame;
 mod budget;
 mod hedge;
