--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -213,7 +213,7 @@
             tokio::select! {
                 biased;
                 () = self.done.notified() => {}
-                () = &mut self.timer => self.tick(id).await,
+                () = &mut self.timer => self.engine.tick(id),
                 read = self.stream.read_buf(&mut self.buffer), if may_read => {
                     if read.is_err() || read.is_ok_and(|count| count == 0) {
                         self.engine.cancel(id);
@@ -224,16 +224,6 @@
         }
     }
 
-    async fn tick(&self, id: u64) {
-        if self.engine.hedges_next(id) {
-            // Lets every connection that has bytes be read first: after a turn
-            // that took long, replies wait there, and hedging their parts would
-            // cost calls that answer nothing.
-            tokio::task::yield_now().await;
-        }
-        self.engine.tick(id);
-    }
-
     /// Logs and counts the end of a request.
     fn tell(
         &self,
--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -326,10 +326,6 @@
         self.state.borrow().wake_at(id)
     }
 
-    pub(super) fn hedges_next(&self, id: u64) -> bool {
-        self.state.borrow().hedges_next(id)
-    }
-
     pub(super) fn tick(&self, id: u64) {
         self.with(|state, now| state.tick(id, now));
     }
@@ -374,8 +370,6 @@
                     let engine = self.clone();
                     tokio::task::spawn_local(async move {
                         tokio::time::sleep_until(engine.clock.instant(at)).await;
-                        // Replies that wait to be read aren't out.
-                        tokio::task::yield_now().await;
                         engine.with(|state, _| state.merge(ask));
                     });
                 }
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -178,12 +178,6 @@
         Some((outcome, running.job))
     }
 
-    /// Whether [`Self::tick`] is to hedge a request next.
-    pub(super) fn hedges_next(&self, id: u64) -> bool {
-        let running = self.running.get(&id);
-        running.is_some_and(|running| running.job.hedges_next())
-    }
-
     /// When [`Self::tick`] is to be called for a request.
     pub(super) fn wake_at(&self, id: u64) -> Option<clock::Moment> {
         self.running.get(&id).map(|running| running.job.wake_at())
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -125,12 +125,6 @@
         self.next_hedge.map_or(at, |hedge| hedge.min(at))
     }
 
-    /// Whether [`Self::tick`] is to hedge next. What has come is to be read
-    /// before: this VM may have been held up while replies waited for it.
-    pub fn hedges_next(&self) -> bool {
-        self.next_hedge.is_some_and(|hedge| hedge <= self.wake_at())
-    }
-
     /// When the final answer goes out, whatever it is.
     pub fn deadline(&self) -> clock::Moment {
         self.deadline
