VMs that make calls for others advise against upstreams that do badly

Hypothesis: on 61 VMs each makes 0.4 calls a second to an upstream and can't know that it is slow, paused or declines; the six VMs that make the others' calls see thirty times that. They learn from those calls now, and send a first call back before anything went out where another upstream does well; the entry calls that one, as a first call, and remembers the advice like its own calls. A call that was never sent no longer counts as an arrival: the next one was charged to the allowance.

--- a/crates/geraniumgauge/src/edge/call.rs
+++ b/crates/geraniumgauge/src/edge/call.rs
@@ -108,8 +108,10 @@
     pub(super) link: Option<pool::Link>,
     /// The VM that was asked to make it.
     pub(super) via: Option<net::SocketAddr>,
-    /// How long such calls take, where nobody waits for it any more.
-    pub(super) orphan: Option<time::Duration>,
+    /// How long such calls usually take.
+    pub(super) usual: time::Duration,
+    /// Whether nobody waits for it any more.
+    pub(super) orphaned: bool,
 }
 
 impl Call {
@@ -118,6 +120,7 @@
         owner: Owner,
         upstream: registry::Handle,
         message: rc::Rc<Message>,
+        usual: time::Duration,
         now: clock::Moment,
     ) -> Self {
         Self {
@@ -127,7 +130,8 @@
             message,
             link: None,
             via: None,
-            orphan: None,
+            usual,
+            orphaned: false,
         }
     }
 }
--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -17,6 +17,7 @@
 use crate::h1;
 use crate::rate;
 use crate::route;
+use crate::time as clock;
 
 /// Limits until the first configuration says what they are.
 const FIRST_LIMITS: route::Limits = route::Limits {
@@ -256,7 +257,8 @@
             request = id, route = job.route().name.as_str(), version:% = table.version(),
             status = answer.status, outcome = answer.outcome, reason = reason,
             parts_done = done, parts = all, upstreams = upstreams, missing = missing,
-            took_ms = took.as_millis() as u64;
+            lacks = lacks(job), aim_ms = clock::millis(job.route().aim),
+            took_ms = clock::millis(took);
             "answered"
         );
         let count = self.engine.count();
@@ -310,3 +312,10 @@
         let _ = tokio::time::timeout(LINGER, drain).await;
     }
 }
+
+/// Why parts have no reply, as `cause=count` in a row.
+fn lacks(job: &forward::Job) -> String {
+    let lacks = job.lacks().into_iter();
+    let lacks: Vec<String> = lacks.map(|(why, count)| format!("{why}={count}")).collect();
+    lacks.join(" ")
+}
--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -10,6 +10,7 @@
 
 use prost::Message as _;
 
+use crate::forward;
 use crate::ids;
 use crate::registry;
 
@@ -129,6 +130,13 @@
     /// Whether the VM that is asked is to pay for them.
     #[prost(bool, tag = "10")]
     pub(super) unpaid: bool,
+    /// How long such calls usually take, in microseconds.
+    #[prost(uint64, tag = "11")]
+    pub(super) usual_us: u64,
+    /// Whether the VM that is asked makes the calls also where it would advise
+    /// against their upstreams.
+    #[prost(bool, tag = "12")]
+    pub(super) insist: bool,
 }
 
 /// One call to make.
@@ -224,6 +232,13 @@
     /// How long the call took, in microseconds.
     #[prost(uint64, tag = "4")]
     pub(super) took_us: u64,
+    /// How much slower than usual the upstream is, in percent, where the VM
+    /// advises against it.
+    #[prost(uint32, tag = "5")]
+    pub(super) slowness: u32,
+    /// Which share of its calls the upstream declines, in percent, likewise.
+    #[prost(uint32, tag = "6")]
+    pub(super) declined: u32,
 }
 
 impl End {
@@ -232,8 +247,26 @@
         Self {
             id,
             how: how.into(),
-            signature: String::new(),
-            took_us: 0,
+            ..Self::default()
+        }
+    }
+
+    /// The end of call `id`, which the VM that was asked advises against.
+    pub(super) fn advised(id: u64, advice: forward::Advice) -> Self {
+        // Percents of values of two digits at most.
+        let percent = |value: f64| (value * 100.0) as u32;
+        Self {
+            slowness: percent(advice.slowness),
+            declined: percent(advice.declined),
+            ..Self::new(id, How::Advised)
+        }
+    }
+
+    /// What the VM that was asked knows of the upstream.
+    pub(super) fn advice(&self) -> forward::Advice {
+        forward::Advice {
+            slowness: f64::from(self.slowness) / 100.0,
+            declined: f64::from(self.declined) / 100.0,
         }
     }
 }
@@ -258,6 +291,8 @@
     Unknown = 6,
     /// Nothing was sent: the VM couldn't pay for it.
     Unpaid = 7,
+    /// Nothing was sent: the VM knows the upstream to do badly.
+    Advised = 8,
 }
 
 impl Frame {
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -249,15 +249,21 @@
                 self.fleet.blame.clear(call.message.fingerprint());
             }
             self.count.ended(kind(&ended.verdict), took);
+            if call.orphaned {
+                self.orphan_ended(&call, &ended.verdict, now);
+                continue;
+            }
             match call.owner {
                 call::Owner::Ask { ask, remote } => {
-                    self.fleet.standing(call.upstream).end();
-                    if call.orphan.is_none() {
-                        self.ask_ended(ask, remote, ended.verdict, took, now);
-                    }
-                }
-                call::Owner::Job { .. } if call.orphan.is_some() => {
-                    self.orphan_ended(&call, &ended.verdict, now);
+                    let end = forward::End {
+                        call: ended.call,
+                        part: 0,
+                        verdict: ended.verdict,
+                        took,
+                    };
+                    self.fleet
+                        .learn(call.upstream, &end, call.began, call.usual, now);
+                    self.ask_ended(ask, remote, end, now);
                 }
                 call::Owner::Job { job, part } => {
                     self.job_ended(job, part, &call, ended, took, now);
@@ -305,12 +311,13 @@
         };
         self.count.call(send.why);
         let message = running.message.clone();
-        self.tell_extra(&message, &send, now);
         let owner = call::Owner::Job {
             job,
             part: send.part,
         };
-        let call = call::Call::new(owner, send.upstream, message, now);
+        let usual = running.job.times().median();
+        self.tell_extra(&message, &send, now);
+        let call = call::Call::new(owner, send.upstream, message, usual, now);
         self.calls.insert(send.call, call);
         self.pool(send.upstream).waiting.push_back(send.call);
         self.dispatch(send.upstream, now);
@@ -343,6 +350,7 @@
         forward::Verdict::NotRun => "not_run",
         forward::Verdict::Misdirected => "misdirected",
         forward::Verdict::NotSent => "not_sent",
+        forward::Verdict::Advised(_) => "advised",
         forward::Verdict::Unpaid => "unpaid",
         forward::Verdict::Lost => "lost",
     }
--- a/crates/geraniumgauge/src/edge/state/orphans.rs
+++ b/crates/geraniumgauge/src/edge/state/orphans.rs
@@ -25,7 +25,7 @@
         let orphan = forward::Orphan {
             upstream: call.upstream,
             began: call.began,
-            usual: call.orphan.unwrap_or_default(),
+            usual: call.usual,
         };
         let replied = matches!(
             verdict,
@@ -39,12 +39,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let usual = match call.owner {
-            call::Owner::Job { job, .. } => self.running.get(&job),
-            call::Owner::Ask { .. } => None,
-        };
-        let usual = usual.map(|running| running.job.times().median());
-        call.orphan = Some(usual.unwrap_or_default());
+        call.orphaned = true;
         if call.via.is_some() {
             // Its reply may be merged with others, which are of use: it goes on
             // until the request is over.
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -47,6 +47,7 @@
     data_centre: ids::DataCentre,
     first: bool,
     payer: forward::Payer,
+    insist: bool,
 }
 
 impl state::State {
@@ -75,6 +76,7 @@
                 data_centre: upstream.data_centre.clone(),
                 first: send.why == forward::Why::First,
                 payer: send.payer,
+                insist: send.insist,
             };
             let paid = send.payer == forward::Payer::Own;
             if !place.first && paid && (!crowded || self.has_idle(send.upstream)) {
@@ -113,8 +115,10 @@
             return;
         };
         let message = running.message.clone();
+        let usual = running.job.times().median();
         for send in sends {
-            let call = call::Call::new(owner(job, &send), send.upstream, message.clone(), now);
+            let owner = owner(job, &send);
+            let call = call::Call::new(owner, send.upstream, message.clone(), usual, now);
             self.calls.insert(send.call, call);
             self.end(send.call, forward::Verdict::Unpaid, now);
         }
@@ -133,6 +137,7 @@
             return Vec::new();
         };
         let message = running.message.clone();
+        let usual = running.job.times().median();
         let merge = running
             .job
             .hedge_after()
@@ -163,6 +168,8 @@
                 .collect(),
             first: place.first,
             unpaid: place.payer == forward::Payer::Helper,
+            usual_us: clock::micros(usual),
+            insist: place.insist || !place.first,
         };
         let bytes = frame::Frame::bytes(frame::Kind::Ask(ask));
         let sender = self.peers.outgoing.get(&address);
@@ -175,7 +182,8 @@
         for send in sends {
             self.count.call(send.why);
             self.tell_extra(&message, &send, now);
-            let mut call = call::Call::new(owner(job, &send), send.upstream, message.clone(), now);
+            let owner = owner(job, &send);
+            let mut call = call::Call::new(owner, send.upstream, message.clone(), usual, now);
             call.via = Some(address);
             self.calls.insert(send.call, call);
         }
@@ -296,6 +304,7 @@
                 frame::How::Misdirected => forward::Verdict::Misdirected,
                 frame::How::NotSent => forward::Verdict::NotSent,
                 frame::How::Unpaid => forward::Verdict::Unpaid,
+                frame::How::Advised => forward::Verdict::Advised(end.advice()),
                 frame::How::Unknown => {
                     self.relays.missed(address, now);
                     self.call_directly(id, now);
@@ -357,7 +366,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        if call.orphan.is_some() {
+        if call.orphaned {
             self.end(id, forward::Verdict::NotSent, now);
             return;
         }
@@ -372,7 +381,7 @@
     /// Puts a reply that is merged with others in the place of the reply that
     /// its part has already; false where the part has none.
     fn replace(&mut self, id: ids::Attempt, reply: &h1::Reply) -> bool {
-        let Some(call) = self.calls.get(&id).filter(|call| call.orphan.is_some()) else {
+        let Some(call) = self.calls.get(&id).filter(|call| call.orphaned) else {
             return false;
         };
         let call::Owner::Job { job, part } = call.owner else {
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -32,13 +32,17 @@
     merged: bool,
 }
 
-/// What calls for another VM are to the service's allowance of extra calls.
+/// On which terms another VM wants calls to be made.
 #[derive(Debug, Clone, Copy)]
 struct Terms {
     /// They are the first ones of their parts.
     first: bool,
     /// This VM is to pay for them.
     unpaid: bool,
+    /// They are made also where this VM advises against their upstreams.
+    insist: bool,
+    /// How long they usually take.
+    usual: time::Duration,
 }
 
 impl state::State {
@@ -82,7 +86,8 @@
         self.settle(now);
     }
 
-    /// Another VM asks for calls.
+    /// Another VM asks for calls. Those that aren't made are told at once, in one
+    /// frame, so that they are made elsewhere.
     pub(in crate::edge) fn asked(&mut self, peer: u64, ask: frame::Ask, now: clock::Moment) {
         let message = rc::Rc::new(call::Message {
             id: ask.request,
@@ -109,17 +114,24 @@
         let terms = Terms {
             first: ask.first,
             unpaid: ask.unpaid,
+            insist: ask.insist,
+            usual: time::Duration::from_micros(ask.usual_us),
         };
-        for call in ask.calls {
-            self.call_for(id, &call, terms, &message, now);
+        let wanted = ask.calls.iter();
+        let left: Vec<frame::End> = wanted
+            .filter_map(|wanted| self.call_for(id, wanted, terms, &message, now).err())
+            .collect();
+        if !left.is_empty() {
+            self.tell_ends(id, left, now);
         }
-        if ask.merge_us > 0 {
+        if ask.merge_us > 0 && self.peers.asks.contains_key(&id) {
             let at = now + time::Duration::from_micros(ask.merge_us);
             self.orders.push(state::Order::Merge { ask: id, at });
         }
         self.settle(now);
     }
 
+    /// Makes a call for another VM; what that VM is told where it isn't made.
     fn call_for(
         &mut self,
         ask: u64,
@@ -127,31 +139,32 @@
         terms: Terms,
         message: &rc::Rc<call::Message>,
         now: clock::Moment,
-    ) {
-        let id = self.fleet.next_call();
-        if let Some(asked) = self.peers.asks.get_mut(&ask) {
-            asked.pending.insert(wanted.id, id);
-        }
+    ) -> Result<(), frame::End> {
         let own = self.fleet.own().data_centre.clone();
         let registry = &mut self.fleet.registry;
         let named = match wanted.upstream.parse() {
             Ok(id) => registry.named(&id, wanted.address(), &own, now),
             Err(_) => Err(registry::Unnamed::Unknown),
         };
-        let upstream = match named {
-            Ok(upstream) => upstream,
-            Err(why) => {
-                log::info!(request = message.id.as_str(), upstream = wanted.upstream.as_str(), why:% = why; "call for another VM not made");
-                let how = match why {
-                    registry::Unnamed::Unknown => frame::How::Unknown,
-                    registry::Unnamed::Leaving => frame::How::NotSent,
-                };
-                self.tell_end(ask, frame::End::new(wanted.id, how), now);
-                return;
-            }
-        };
+        let upstream = named.map_err(|why| {
+            log::info!(request = message.id.as_str(), upstream = wanted.upstream.as_str(), why:% = why; "call for another VM not made");
+            let how = match why {
+                registry::Unnamed::Unknown => frame::How::Unknown,
+                registry::Unnamed::Leaving => frame::How::NotSent,
+            };
+            frame::End::new(wanted.id, how)
+        })?;
+        if !terms.insist
+            && let Some(advice) = self.fleet.advice(upstream, now)
+        {
+            return Err(frame::End::advised(wanted.id, advice));
+        }
         if !self.is_paid(upstream, terms, now) {
-            return self.tell_end(ask, frame::End::new(wanted.id, frame::How::Unpaid), now);
+            return Err(frame::End::new(wanted.id, frame::How::Unpaid));
+        }
+        let id = self.fleet.next_call();
+        if let Some(asked) = self.peers.asks.get_mut(&ask) {
+            asked.pending.insert(wanted.id, id);
         }
         self.peers.made += 1;
         self.fleet.standing(upstream).start();
@@ -159,10 +172,11 @@
             ask,
             remote: wanted.id,
         };
-        self.calls
-            .insert(id, call::Call::new(owner, upstream, message.clone(), now));
+        let call = call::Call::new(owner, upstream, message.clone(), terms.usual, now);
+        self.calls.insert(id, call);
         self.pool(upstream).waiting.push_back(id);
         self.dispatch(upstream, now);
+        Ok(())
     }
 
     /// Counts another VM's call to an upstream, and pays for it where this VM is
@@ -195,25 +209,25 @@
         &mut self,
         id: u64,
         remote: u64,
-        verdict: forward::Verdict,
-        took: time::Duration,
+        ended: forward::End,
         now: clock::Moment,
     ) {
         let Some(ask) = self.peers.asks.get_mut(&id) else {
             return;
         };
         ask.pending.remove(&remote);
-        let (how, reply) = match verdict {
+        let (how, reply) = match ended.verdict {
             forward::Verdict::Good(reply) => (frame::How::Good, Some(reply)),
             forward::Verdict::Failure(_) => (frame::How::Failure, None),
             forward::Verdict::NotRun => (frame::How::NotRun, None),
             forward::Verdict::Misdirected => (frame::How::Misdirected, None),
             forward::Verdict::NotSent => (frame::How::NotSent, None),
             forward::Verdict::Unpaid => (frame::How::Unpaid, None),
+            forward::Verdict::Advised(_) => (frame::How::Advised, None),
             forward::Verdict::Lost => (frame::How::Lost, None),
         };
         let mut end = frame::End::new(remote, how);
-        end.took_us = clock::micros(took);
+        end.took_us = clock::micros(ended.took);
         match reply {
             Some(reply) => {
                 end.signature = reply.signature.unwrap_or_default();
@@ -222,20 +236,19 @@
                     self.tell_good(id, now);
                 }
             }
-            None => self.tell_end(id, end, now),
+            None => self.tell_ends(id, vec![end], now),
         }
     }
 
-    /// Tells the end of a call without a good reply at once: whoever asked may
-    /// call another upstream.
-    fn tell_end(&mut self, id: u64, end: frame::End, now: clock::Moment) {
-        let Some(ask) = self.peers.asks.get_mut(&id) else {
+    /// Tells the ends of calls without a good reply at once: whoever asked may
+    /// call other upstreams.
+    fn tell_ends(&mut self, id: u64, ends: Vec<frame::End>, now: clock::Moment) {
+        let Some(ask) = self.peers.asks.get(&id) else {
             return;
         };
-        ask.pending.remove(&end.id);
         let peer = ask.peer;
         let told = frame::Told {
-            ends: vec![end],
+            ends,
             ..frame::Told::default()
         };
         self.tell(peer, told);
@@ -261,6 +274,11 @@
         ask.merged = true;
         let out = ask.pending.keys().copied().collect();
         let due = ask.merge_after;
+        for call in ask.pending.values() {
+            if let Some(call) = self.calls.get(call) {
+                self.fleet.standing(call.upstream).late();
+            }
+        }
         self.tell_merged(id, out, due);
     }
 
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -219,6 +219,53 @@
         near(upstream) || ready && !others.iter().any(|other| near(*other))
     }
 
+    /// Takes what the end of a call shows of its upstream; the call began at
+    /// `began` and usually takes `usual`.
+    pub fn learn(
+        &mut self,
+        upstream: registry::Handle,
+        end: &forward::End,
+        began: clock::Moment,
+        usual: time::Duration,
+        now: clock::Moment,
+    ) {
+        let standing = self.standing(upstream);
+        standing.end();
+        match end.verdict {
+            forward::Verdict::Good(_) => {
+                standing.replied(forward::ratio(end.took, usual), began, now);
+            }
+            forward::Verdict::Failure(_) | forward::Verdict::Lost => standing.failed(now),
+            forward::Verdict::NotRun => standing.full(forward::NO_ROOM_PAUSE, now),
+            forward::Verdict::Misdirected => standing.misdirected(),
+            forward::Verdict::Advised(advice) => standing.hear(advice, now),
+            forward::Verdict::NotSent | forward::Verdict::Unpaid => {}
+        }
+    }
+
+    /// Why another upstream than this one is better called first; `None` where
+    /// this one does well, or there is no other.
+    pub fn advice(
+        &mut self,
+        upstream: registry::Handle,
+        now: clock::Moment,
+    ) -> Option<forward::Advice> {
+        let advice = self.standing(upstream).advice(now)?;
+        let service = &self.registry.get(upstream).entry.service;
+        let other = |other: &registry::Handle| {
+            let usable = self.registry.get(*other).usable(now) == registry::Use::Full;
+            let standing = self.standings.get(other.index());
+            let well =
+                |standing: &forward::Standing| standing.up(now) && standing.advice(now).is_none();
+            *other != upstream && usable && standing.is_none_or(well)
+        };
+        self.registry
+            .of(service)
+            .iter()
+            .any(other)
+            .then_some(advice)
+    }
+
     /// Takes the end of a call that nobody waited for any more: with a reply
     /// after `took`, or given up without one.
     pub fn orphan_ended(&mut self, orphan: &Orphan, replied: bool, now: clock::Moment) {
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -38,12 +38,13 @@
             }
             return;
         };
-        let payer = if part.arrived {
+        let payer = if part.arrivals > 0 {
             fleet.extra(&part.service, now)
         } else {
             Some(forward::Payer::Own)
         };
         let Some(payer) = payer else {
+            part.unpaid = true;
             if part.calls.is_empty() {
                 self.fail(place, forward::Reason::NoRoom);
             }
@@ -51,7 +52,7 @@
         };
         let id = fleet.next_call();
         fleet.standing(upstream).start();
-        part.arrived = true;
+        part.arrivals += 1;
         part.may_have_run += 1;
         part.tried.push(upstream);
         part.calls.push(part::Call {
@@ -71,6 +72,7 @@
             upstream,
             why,
             payer,
+            insist: part.advised,
         }));
     }
 
@@ -93,11 +95,37 @@
         self.again(place, forward::Why::NotRun, fleet, now, actions);
     }
 
+    /// The VM that was asked to make a first call advises against it: another
+    /// upstream is tried in its place, or the same one where there is no other.
+    pub(super) fn advised(
+        &mut self,
+        place: usize,
+        upstream: registry::Handle,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+        actions: &mut Vec<forward::Action>,
+    ) {
+        let part = &mut self.parts[place];
+        part.arrivals -= 1;
+        part.may_have_run -= 1;
+        part.advised = true;
+        let usual = self.times.median();
+        if fleet
+            .choose(&part.service, &part.tried, usual, now)
+            .is_none()
+        {
+            part.tried.retain(|tried| *tried != upstream);
+        }
+        self.again(place, forward::Why::First, fleet, now, actions);
+    }
+
     /// A call wasn't made as nobody could pay for it: the service's allowance is
     /// spent, and another try would meet the same.
     pub(super) fn unpaid(&mut self, place: usize, upstream: registry::Handle) {
         let part = &mut self.parts[place];
+        part.arrivals -= 1;
         part.may_have_run -= 1;
+        part.unpaid = true;
         part.tried.retain(|tried| *tried != upstream);
         if part.calls.is_empty() {
             self.fail(place, forward::Reason::NoRoom);
--- a/crates/geraniumgauge/src/forward/job/finish.rs
+++ b/crates/geraniumgauge/src/forward/job/finish.rs
@@ -89,7 +89,7 @@
         if self.parts.iter().any(|part| part.may_have_run > 0) {
             return self.finish(forward::Outcome::Unknown { reason }, actions);
         }
-        self.refuse(reason, job::NO_ROOM_PAUSE, actions);
+        self.refuse(reason, forward::NO_ROOM_PAUSE, actions);
     }
 
     pub(super) fn refuse(
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod finish;
 
+use std::collections;
 use std::rc;
 use std::time;
 
@@ -17,9 +18,6 @@
 /// Pause told to callers of a service without an upstream. Crashed upstreams
 /// are back after seconds, but another VM may reach one now.
 const NO_UPSTREAM_PAUSE: time::Duration = time::Duration::from_millis(100);
-/// Pause told to callers where upstreams have no room: some queue has drained
-/// by then, and callers that were refused together return apart.
-const NO_ROOM_PAUSE: time::Duration = time::Duration::from_millis(40);
 /// Pause told to callers of a request that crashes upstreams: as long as it
 /// stays refused, at least.
 const QUARANTINE_PAUSE: time::Duration = time::Duration::from_secs(30);
@@ -182,32 +180,28 @@
         let Some(call) = part.take(end.call) else {
             return;
         };
-        let standing = fleet.standing(call.upstream);
-        standing.end();
-        let took = end.took;
+        fleet.learn(call.upstream, &end, call.began, self.times.median(), now);
         match end.verdict {
             forward::Verdict::Good(reply) => {
-                standing.replied(forward::ratio(took, self.times.median()), call.began, now);
-                self.times.add(took);
+                self.times.add(end.took);
                 self.complete(place, reply, actions);
             }
             forward::Verdict::Failure(reply) => {
-                standing.failed(now);
                 part.failure = Some(reply);
                 self.again(place, forward::Why::Failed, fleet, now, actions);
             }
-            forward::Verdict::NotRun => {
-                standing.full(NO_ROOM_PAUSE, now);
+            forward::Verdict::NotRun | forward::Verdict::Misdirected => {
                 self.not_run(place, fleet, now, actions);
             }
-            forward::Verdict::Misdirected => {
-                standing.misdirected();
+            forward::Verdict::NotSent => {
+                part.arrivals -= 1;
                 self.not_run(place, fleet, now, actions);
             }
-            forward::Verdict::NotSent => self.not_run(place, fleet, now, actions),
+            forward::Verdict::Advised(_) => {
+                self.advised(place, call.upstream, fleet, now, actions);
+            }
             forward::Verdict::Unpaid => self.unpaid(place, call.upstream),
             forward::Verdict::Lost => {
-                standing.failed(now);
                 self.again(place, forward::Why::Failed, fleet, now, actions);
             }
         }
@@ -262,6 +256,15 @@
         open.map(|part| &part.service)
     }
 
+    /// Why parts have no reply, and how many for each cause.
+    pub fn lacks(&self) -> collections::BTreeMap<forward::Lack, usize> {
+        let mut lacks = collections::BTreeMap::new();
+        for lack in self.parts.iter().filter_map(part::Part::lack) {
+            *lacks.entry(lack).or_default() += 1;
+        }
+        lacks
+    }
+
     /// The upstreams that were called for the first part.
     pub fn tried(&self) -> &[registry::Handle] {
         self.parts.first().map_or(&[], |part| &part.tried)
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -30,10 +30,12 @@
 pub use job::Job;
 pub use job::Request;
 pub use lag::Lag;
+pub use part::Lack;
 pub use merge::RECORD;
 pub use merge::top;
 pub use relay::Helper;
 pub use relay::Relays;
+pub use standing::Advice;
 pub use standing::Standing;
 pub use times::Times;
 
@@ -44,6 +46,11 @@
 use crate::rate;
 use crate::registry;
 
+/// How long an upstream that has no room is left alone, and the pause told to
+/// callers then: some queue has drained by then, and callers that were refused
+/// together return apart.
+const NO_ROOM_PAUSE: time::Duration = time::Duration::from_millis(40);
+
 /// How requests are run. Times are of this VM's clock.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
@@ -132,6 +139,8 @@
     pub why: Why,
     /// Who pays for it, where it is an extra one.
     pub payer: Payer,
+    /// Whether a VM that is asked to make it does so in any case.
+    pub insist: bool,
 }
 
 /// The end of a call.
@@ -160,6 +169,8 @@
     Misdirected,
     /// It wasn't run: no byte of it was sent.
     NotSent,
+    /// It wasn't made: the VM that was asked knows the upstream to do badly.
+    Advised(Advice),
     /// It wasn't made: nobody could pay for it.
     Unpaid,
     /// Its connection ended, or its reply can't be used: it may have run.
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -39,6 +39,27 @@
     Failed(forward::Reason),
 }
 
+/// Why a part has no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(derive_more::Display)]
+pub enum Lack {
+    /// An extra call was wanted, and the service's allowance was spent.
+    #[display("unpaid")]
+    Unpaid,
+    /// No upstream could be tried.
+    #[display("no_upstream")]
+    NoUpstream,
+    /// Its calls failed or were declined.
+    #[display("failed")]
+    Failed,
+    /// Its upstream is late, and no other was called.
+    #[display("late")]
+    Late,
+    /// Several upstreams were called, and all are late.
+    #[display("all_late")]
+    AllLate,
+}
+
 /// One part.
 #[derive(Debug)]
 pub(super) struct Part {
@@ -50,8 +71,13 @@
     pub(super) may_have_run: u32,
     /// Calls that were proven not run.
     pub(super) not_run: u32,
-    /// Whether an arrival was counted: the first one isn't extra.
-    pub(super) arrived: bool,
+    /// Calls that reached an upstream or may have: the first isn't extra.
+    pub(super) arrivals: u32,
+    /// Whether a VM advised against a call, so that the next one is made in any
+    /// case.
+    pub(super) advised: bool,
+    /// Whether an extra call was wanted that nobody could pay for.
+    pub(super) unpaid: bool,
     /// When it is hedged; `None` where it was, or can't be.
     pub(super) hedge_at: Option<clock::Moment>,
     /// An upstream's own failure, told to the caller where nothing better comes.
@@ -67,7 +93,9 @@
             tried: Vec::with_capacity(2),
             may_have_run: 0,
             not_run: 0,
-            arrived: false,
+            arrivals: 0,
+            advised: false,
+            unpaid: false,
             hedge_at: None,
             failure: None,
         }
@@ -81,6 +109,18 @@
         matches!(self.state, State::Done(_))
     }
 
+    /// Why it has no reply; `None` where it has one.
+    pub(super) fn lack(&self) -> Option<Lack> {
+        match self.state {
+            State::Done(_) => None,
+            _ if self.unpaid => Some(Lack::Unpaid),
+            State::Failed(forward::Reason::NoUpstream) => Some(Lack::NoUpstream),
+            State::Failed(_) => Some(Lack::Failed),
+            State::Open if self.tried.len() > 1 => Some(Lack::AllLate),
+            State::Open => Some(Lack::Late),
+        }
+    }
+
     /// Takes the call off those under way.
     pub(super) fn take(&mut self, id: ids::Attempt) -> Option<Call> {
         let place = self.calls.iter().position(|call| call.id == id)?;
--- a/crates/geraniumgauge/src/forward/standing.rs
+++ b/crates/geraniumgauge/src/forward/standing.rs
@@ -46,6 +46,24 @@
 /// How much slower an upstream is taken to be that is warming up.
 const COLD: f64 = 1.6;
 
+/// Times the usual from which an upstream is advised against: a call to another
+/// data centre and the way there cost less.
+const ADVISED_SLOW: f64 = 2.5;
+/// Share of declined calls from which an upstream is advised against.
+const ADVISED_DECLINED: f64 = 0.2;
+
+/// What a VM that makes calls for others tells of an upstream that does badly.
+///
+/// On a large fleet each VM makes too few calls to an upstream to see that it is
+/// slow or declines; those that make the others' calls see it at once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Advice {
+    /// How many times slower than usual it is.
+    pub slowness: f64,
+    /// The share of calls that it declines.
+    pub declined: f64,
+}
+
 /// The standing of one upstream.
 #[derive(Debug, Clone)]
 pub struct Standing {
@@ -173,6 +191,28 @@
         self.declined_seen = now;
     }
 
+    /// Why another upstream is better called first; `None` where this one does
+    /// well. A late call counts as long as it has no reply: calls that wait for
+    /// the same pause would all be late.
+    pub fn advice(&self, now: clock::Moment) -> Option<Advice> {
+        let advice = Advice {
+            slowness: self.slowness(now),
+            declined: self.declined(now),
+        };
+        let badly =
+            self.late || advice.slowness >= ADVISED_SLOW || advice.declined >= ADVISED_DECLINED;
+        badly.then_some(advice)
+    }
+
+    /// Another VM has seen more of it. What is heard is forgotten like what was
+    /// seen, and calls that are made all the same overrule it.
+    pub fn hear(&mut self, advice: Advice, now: clock::Moment) {
+        self.slowness = self.slowness(now).max(advice.slowness);
+        self.seen = now;
+        self.declined = self.declined(now).max(advice.declined);
+        self.declined_seen = now;
+    }
+
     /// The share of calls that it declines, as far as is known.
     fn declined(&self, now: clock::Moment) -> f64 {
         let age = now.since(self.declined_seen).as_secs_f64() / FORGET_DECLINED.as_secs_f64();
--- a/crates/geraniumgauge/src/forward/tests/mod.rs
+++ b/crates/geraniumgauge/src/forward/tests/mod.rs
@@ -1,3 +1,4 @@
+mod advice;
 mod allowance;
 mod blame;
 mod budget;
