Shards whose upstreams all declined are tried again, within the allowance

Hypothesis: where upstreams decline a part of their calls, a shard was given up after one call to each of its two or three, and its searches with it, though the next call would mostly be taken.

--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -31,8 +31,14 @@
         actions: &mut Vec<forward::Action>,
     ) {
         let usual = self.times.median();
+        let is_sharded = self.is_sharded();
         let part = &mut self.parts[place];
-        let Some(upstream) = fleet.choose(&part.service, &part.tried, usual, now) else {
+        let mut upstream = fleet.choose(&part.service, &part.tried, usual, now);
+        if upstream.is_none() && is_sharded && part.calls.is_empty() {
+            part.forgive();
+            upstream = fleet.choose(&part.service, &part.tried, usual, now);
+        }
+        let Some(upstream) = upstream else {
             if part.calls.is_empty() {
                 self.fail(place, forward::Reason::NoUpstream);
             }
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -190,7 +190,11 @@
                 part.failure = Some(reply);
                 self.again(place, forward::Why::Failed, fleet, now, actions);
             }
-            forward::Verdict::NotRun | forward::Verdict::Misdirected => {
+            forward::Verdict::NotRun => {
+                part.declined.push(call.upstream);
+                self.not_run(place, fleet, now, actions);
+            }
+            forward::Verdict::Misdirected => {
                 self.not_run(place, fleet, now, actions);
             }
             forward::Verdict::NotSent => {
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -67,6 +67,8 @@
     pub(super) state: State,
     pub(super) calls: Vec<Call>,
     pub(super) tried: Vec<registry::Handle>,
+    /// Those among them that declined a call.
+    pub(super) declined: Vec<registry::Handle>,
     /// Calls that may have run, those under way included.
     pub(super) may_have_run: u32,
     /// Calls that were proven not run.
@@ -91,6 +93,7 @@
             state: State::Open,
             calls: Vec::with_capacity(2),
             tried: Vec::with_capacity(2),
+            declined: Vec::new(),
             may_have_run: 0,
             not_run: 0,
             arrivals: 0,
@@ -121,6 +124,14 @@
         }
     }
 
+    /// Lets upstreams that declined be tried again. One that declines a part of
+    /// its calls though it has room may take the next one; a shard all of whose
+    /// upstreams do so was given up after one call to each.
+    pub(super) fn forgive(&mut self) {
+        let declined = std::mem::take(&mut self.declined);
+        self.tried.retain(|tried| !declined.contains(tried));
+    }
+
     /// Takes the call off those under way.
     pub(super) fn take(&mut self, id: ids::Attempt) -> Option<Call> {
         let place = self.calls.iter().position(|call| call.id == id)?;
--- a/crates/geraniumgauge/src/forward/tests/job.rs
+++ b/crates/geraniumgauge/src/forward/tests/job.rs
@@ -200,3 +200,28 @@
         world.outcome.is_some() && within && true_refusal
     }
 }
+
+/// Story: both upstreams of a shard decline a part of their calls though they have
+/// room. One call to each was declined, and the shard was given up, with it
+/// searches that needed it; the next call would have been taken. A shard that
+/// declines on is given up after a few.
+#[test]
+fn upstreams_that_declined_are_tried_again_where_no_other_is_left() {
+    let mut world = world::World::new(1, 2);
+    let mut job = world.start(world::shards(1, 50));
+    for send in 0..2 {
+        world.end(&mut job, send, forward::Verdict::NotRun);
+    }
+    assert_eq!(world.sends.len(), 3, "one of them is called again");
+    world.end(&mut job, 2, world::good(b'a'));
+    assert_eq!(merged(&world), Some((1, 0)));
+
+    let mut world = world::World::new(1, 2);
+    let mut job = world.start(world::shards(1, 50));
+    let mut send = 0;
+    while world.outcome.is_none() {
+        world.end(&mut job, send, forward::Verdict::NotRun);
+        send += 1;
+    }
+    assert!(world.sends.len() <= 4, "{}", world.sends.len());
+}
