Small VMs open no connections ahead to shards that they don't call

Hypothesis: where all VMs start at one moment, each opened a connection to every upstream beside it, 61 to upstreams that take 52 and fewer while busy; small VMs hand those calls over and closed them unused. Now a VM waits until it knows the others, and opens ahead what its own first calls need.

--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -143,10 +143,16 @@
     pub fn set_helpers(&self, helpers: Vec<forward::Helper>) {
         let wanted = {
             let mut state = self.state.borrow_mut();
+            let first = state.relays.makes_own_calls().is_none();
             state.relays.set(helpers);
             let parts = state.relays.parts();
             state.fleet.set_parts(parts);
-            state.relays.wanted()
+            if first {
+                state.warm_all();
+            }
+            let wanted = state.relays.wanted();
+            self.carry_out(state);
+            wanted
         };
         for address in wanted {
             if self.peers.borrow_mut().insert(address) {
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -337,15 +337,37 @@
     }
 
     /// Opens a first connection, so that the first request doesn't wait for it.
-    /// Only where first calls will go: a connection of every VM to every
-    /// upstream would pass the upstreams' limits on a fleet of some sixty, and
-    /// most would close unused.
+    /// Only where this VM's own first calls will go: a connection of every VM to
+    /// every upstream would pass the upstreams' limits on a fleet of some sixty,
+    /// take slots from calls where all start at one moment, and most would close
+    /// unused.
     fn warm(&mut self, upstream: registry::Handle) {
-        if self.fleet.is_first_choice(upstream) {
+        let makes_calls = match self.relays.makes_own_calls() {
+            // Once the other VMs are known, all are warmed.
+            None => false,
+            Some(true) => true,
+            Some(false) => {
+                let service = &self.fleet.registry.get(upstream).entry.service;
+                let table = self.table.as_ref();
+                table.is_some_and(|table| table.is_single(service))
+            }
+        };
+        if makes_calls && self.fleet.is_first_choice(upstream) {
             self.open(upstream);
         }
     }
 
+    /// Opens first connections to all upstreams that were known before the other
+    /// VMs were.
+    pub(in crate::edge) fn warm_all(&mut self) {
+        let upstreams: Vec<registry::Handle> = self.fleet.registry.registered().collect();
+        for upstream in upstreams {
+            if self.pool(upstream).links == 0 {
+                self.warm(upstream);
+            }
+        }
+    }
+
     /// Sends nothing more to an upstream; its running calls go on.
     fn leave(&mut self, upstream: registry::Handle, now: clock::Moment) {
         let idle = std::mem::take(&mut self.pool(upstream).idle);
--- a/crates/geraniumgauge/src/forward/relay.rs
+++ b/crates/geraniumgauge/src/forward/relay.rs
@@ -76,6 +76,8 @@
     known: Vec<Known>,
     turn: usize,
     lateness: forward::Lag,
+    /// Whether the other VMs were ever told.
+    heard: bool,
 }
 
 impl Relays {
@@ -87,12 +89,14 @@
             known: Vec::new(),
             turn: 0,
             lateness: forward::Lag::rare(),
+            heard: false,
         }
     }
 
     /// Takes the VMs that may be alive; what is known of those that stay is
     /// kept.
     pub fn set(&mut self, helpers: Vec<Helper>) {
+        self.heard = true;
         let before = std::mem::take(&mut self.known);
         let known = |helper: Helper| {
             let same = before
@@ -235,6 +239,12 @@
         power >= POWERFUL * most && power >= LARGER * least
     }
 
+    /// Whether this VM makes the calls of its searches itself, as far as it knows
+    /// the others; `None` before it was told of them.
+    pub fn makes_own_calls(&self) -> Option<bool> {
+        self.heard.then(|| !self.has_larger_beside())
+    }
+
     /// Whether a VM beside this one makes its calls where they are many.
     fn has_larger_beside(&self) -> bool {
         let mut beside = self.in_place(&self.own);
--- a/crates/geraniumgauge/src/forward/tests/relay.rs
+++ b/crates/geraniumgauge/src/forward/tests/relay.rs
@@ -146,3 +146,20 @@
         assert_eq!(relays.choose(&place, 90, at(0)), Some(address(1)));
     }
 }
+
+/// Story: sixty VMs start at one moment, and each opened a connection to every
+/// upstream beside it: the upstreams' limits were passed, and calls waited for
+/// slots that handshakes took. Small VMs hand their searches over, so they need
+/// none; until a VM knows the others it can't tell.
+#[test]
+fn only_vms_that_make_their_own_calls_connect_ahead() {
+    let place = || "a".parse().expect("a name");
+    let unknown = forward::Relays::new(place(), 0.12);
+    assert_eq!(unknown.makes_own_calls(), None);
+    let fleet = || vec![helper(1, "a", 0.5), helper(2, "a", 0.12)];
+    assert_eq!(relays(0.12, fleet()).makes_own_calls(), Some(false));
+    assert_eq!(relays(0.5, fleet()).makes_own_calls(), Some(true));
+    let alike = vec![helper(1, "a", 0.25), helper(2, "b", 0.25)];
+    assert_eq!(relays(0.25, alike).makes_own_calls(), Some(true));
+    assert_eq!(relays(0.25, Vec::new()).makes_own_calls(), Some(true));
+}
--- a/crates/geraniumgauge/src/registry/mod.rs
+++ b/crates/geraniumgauge/src/registry/mod.rs
@@ -280,7 +280,12 @@
 
     /// The upstreams that are registered.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
-        self.by_id.values().map(|handle| self.get(*handle))
+        self.registered().map(|handle| self.get(handle))
+    }
+
+    /// Their handles.
+    pub fn registered(&self) -> impl Iterator<Item = Handle> {
+        self.by_id.values().copied()
     }
 
     /// How many upstreams are registered.
--- a/crates/geraniumgauge/src/route/table.rs
+++ b/crates/geraniumgauge/src/route/table.rs
@@ -13,6 +13,8 @@
     version: ids::Generation,
     hosts: collections::HashMap<String, Vec<rc::Rc<Entry>>>,
     services: collections::BTreeMap<ids::Service, route::Service>,
+    /// Services that routes to a single upstream go to.
+    single: collections::HashSet<ids::Service>,
     limits: route::Limits,
     routes: usize,
 }
@@ -31,6 +33,12 @@
     pub fn new(config: route::Config) -> Self {
         let mut hosts: collections::HashMap<String, Vec<rc::Rc<Entry>>> = Default::default();
         let routes = config.routes.len();
+        let targets = config.routes.iter().map(|route| &route.target);
+        let single = targets.flat_map(|target| match target {
+            route::Target::One(parts) => parts.as_slice(),
+            route::Target::Shards(_) => &[],
+        });
+        let single = single.map(|part| part.service.clone()).collect();
         for route in config.routes {
             let split = cell::RefCell::new(route::Split::of(&route.target));
             let host = route.host.clone();
@@ -44,6 +52,7 @@
             version: config.version,
             hosts,
             services: config.services,
+            single,
             limits: config.limits,
             routes,
         }
@@ -74,6 +83,11 @@
         self.limits
     }
 
+    /// Whether a route sends requests to a single upstream of `service`.
+    pub fn is_single(&self, service: &ids::Service) -> bool {
+        self.single.contains(service)
+    }
+
     /// What holds for calls to `service`.
     pub fn service(&self, service: &ids::Service) -> Option<&route::Service> {
         self.services.get(service)
