Lone first calls of small VMs are handed over too

Hypothesis: calls that are moved on advice are mostly alone at their new data centre; a small VM made those itself, over a connection that it had to open.

--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -89,9 +89,9 @@
             }
         }
         for (place, sends) in places {
-            // A first call alone is as cheap by itself. A later one of a small
-            // VM would wait for a connection, which the other VM has.
-            let alone = place.first && sends.len() == 1;
+            // A first call alone is as cheap by itself, but that of a small VM
+            // would wait for a connection, which the other VM has.
+            let alone = place.first && sends.len() == 1 && !crowded;
             let helper = if alone {
                 None
             } else {
