--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -169,7 +169,7 @@
             first: place.first,
             unpaid: place.payer == forward::Payer::Helper,
             usual_us: clock::micros(usual),
-            insist: place.insist || !place.first,
+            insist: place.insist,
         };
         let bytes = frame::Frame::bytes(frame::Kind::Ask(ask));
         let sender = self.peers.outgoing.get(&address);
--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -143,6 +143,20 @@
         Some(Payer::Helper).filter(|_| self.parts.may_ask)
     }
 
+    /// Takes back what was paid at `paid` for an own extra call that wasn't made.
+    /// Where it was paid from what this VM holds for all, its own part gets the
+    /// call back, if it paid any at that time: the sum of both stays right.
+    pub fn refund(
+        &mut self,
+        service: &ids::Service,
+        policy: &forward::Policy,
+        paid: clock::Moment,
+        now: clock::Moment,
+    ) {
+        self.own
+            .of(service, |budget| budget.refund(policy, paid, now));
+    }
+
     /// Pays for an extra call out of what this VM holds for all.
     ///
     /// Not in the first window after a start: a VM that crashed after spending
--- a/crates/geraniumgauge/src/forward/budget.rs
+++ b/crates/geraniumgauge/src/forward/budget.rs
@@ -85,6 +85,18 @@
         true
     }
 
+    /// Takes back an extra call that was counted at `paid` and wasn't made.
+    pub fn refund(&mut self, policy: &forward::Policy, paid: clock::Moment, now: clock::Moment) {
+        self.turn(policy.extra_window, now);
+        let age = self
+            .bucket
+            .saturating_sub(Self::bucket_of(policy.extra_window, paid));
+        if let Some(age) = usize::try_from(age).ok().filter(|age| *age < BUCKETS) {
+            let place = self.place(age);
+            self.extras[place] = self.extras[place].saturating_sub(1);
+        }
+    }
+
     /// Whether an extra call could be made now.
     fn room(&mut self, policy: &forward::Policy, part: forward::Part, now: clock::Moment) -> bool {
         self.turn(policy.extra_window, now);
@@ -116,9 +128,14 @@
         (at % BUCKETS as u64) as usize
     }
 
-    fn turn(&mut self, window: time::Duration, now: clock::Moment) {
+    /// The bucket that a point in time lies in.
+    fn bucket_of(window: time::Duration, at: clock::Moment) -> u64 {
         let width = clock::micros(window) / WINDOW as u64;
-        let bucket = now.0 / width.max(1);
+        at.0 / width.max(1)
+    }
+
+    fn turn(&mut self, window: time::Duration, now: clock::Moment) {
+        let bucket = Self::bucket_of(window, now);
         let passed = bucket.saturating_sub(self.bucket);
         if passed >= BUCKETS as u64 {
             *self = Self::default();
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -129,6 +129,11 @@
         self.allowance.extra(service, &self.policy, now)
     }
 
+    /// Takes back what was paid at `paid` for an extra call that wasn't made.
+    pub fn refund(&mut self, service: &ids::Service, paid: clock::Moment, now: clock::Moment) {
+        self.allowance.refund(service, &self.policy, paid, now);
+    }
+
     /// Counts a request to `service` of another VM, whose first call this one
     /// makes.
     pub fn first_of_other(&mut self, service: &ids::Service, now: clock::Moment) {
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -66,6 +66,8 @@
             upstream,
             began: now,
             known: part::Known::Out,
+            why,
+            payer,
         });
         part.hedge_at = None;
         let repeatable = self.entry.route.repeat == route::Repeat::Idempotent;
@@ -101,17 +103,20 @@
         self.again(place, forward::Why::NotRun, fleet, now, actions);
     }
 
-    /// The VM that was asked to make a first call advises against it: another
-    /// upstream is tried in its place, or the same one where there is no other.
+    /// The VM that was asked to make a call advises against it: another upstream
+    /// is tried in its place, or the same one where there is no other.
     pub(super) fn advised(
         &mut self,
         place: usize,
-        upstream: registry::Handle,
+        call: &part::Call,
         fleet: &mut forward::Fleet,
         now: clock::Moment,
         actions: &mut Vec<forward::Action>,
     ) {
         let part = &mut self.parts[place];
+        if part.arrivals > 1 && call.payer == forward::Payer::Own {
+            fleet.refund(&part.service, call.began, now);
+        }
         part.arrivals -= 1;
         part.may_have_run -= 1;
         part.advised = true;
@@ -120,9 +125,9 @@
             .choose(&part.service, &part.tried, usual, now)
             .is_none()
         {
-            part.tried.retain(|tried| *tried != upstream);
+            part.tried.retain(|tried| *tried != call.upstream);
         }
-        self.again(place, forward::Why::First, fleet, now, actions);
+        self.again(place, call.why, fleet, now, actions);
     }
 
     /// A call wasn't made as nobody could pay for it: the service's allowance is
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -202,7 +202,7 @@
                 self.not_run(place, fleet, now, actions);
             }
             forward::Verdict::Advised(_) => {
-                self.advised(place, call.upstream, fleet, now, actions);
+                self.advised(place, &call, fleet, now, actions);
             }
             forward::Verdict::Unpaid => self.unpaid(place, call.upstream),
             forward::Verdict::Lost => {
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -17,6 +17,8 @@
     pub(super) upstream: registry::Handle,
     pub(super) began: clock::Moment,
     pub(super) known: Known,
+    pub(super) why: forward::Why,
+    pub(super) payer: forward::Payer,
 }
 
 /// What is known of a call while it has no reply.
--- a/crates/geraniumgauge/src/forward/standing.rs
+++ b/crates/geraniumgauge/src/forward/standing.rs
@@ -199,8 +199,10 @@
             slowness: self.slowness(now),
             declined: self.declined(now),
         };
-        let badly =
-            self.late || advice.slowness >= ADVISED_SLOW || advice.declined >= ADVISED_DECLINED;
+        let badly = self.late
+            || !self.up(now)
+            || advice.slowness >= ADVISED_SLOW
+            || advice.declined >= ADVISED_DECLINED;
         badly.then_some(advice)
     }
 
--- a/crates/geraniumgauge/src/forward/tests/advice.rs
+++ b/crates/geraniumgauge/src/forward/tests/advice.rs
@@ -51,6 +51,25 @@
     assert_ne!(world.sends[before].upstream, first.upstream);
 }
 
+/// Story: a part is hedged, and the VM that is to call the other upstream knows
+/// that one to be slow as well. The third is called in its place, for the price of
+/// one extra call.
+#[test]
+fn a_hedge_is_moved_from_a_slow_upstream_for_the_price_of_one() {
+    let mut world = without_extras(1, 3);
+    // Room for one extra call and a bit.
+    world.fleet.policy.extra_calls = 2.0;
+    let mut job = world.start(world::shards(1, 50));
+    world.at(&mut job, 40);
+    assert_eq!(world.sends[1].why, forward::Why::Hedge);
+    world.end(&mut job, 1, forward::Verdict::Advised(SLOW));
+    let moved = world.sends[2];
+    assert_eq!(moved.why, forward::Why::Hedge);
+    assert!(moved.insist);
+    assert_ne!(moved.upstream, world.sends[0].upstream);
+    assert_ne!(moved.upstream, world.sends[1].upstream);
+}
+
 /// Story: a shard has one upstream left, and that one is slow. Sending its call
 /// back leads nowhere, so it is called all the same.
 #[test]
--- a/crates/geraniumgauge/src/forward/tests/allowance.rs
+++ b/crates/geraniumgauge/src/forward/tests/allowance.rs
@@ -174,6 +174,24 @@
     assert!(fleet.extras.len() > spent);
 }
 
+/// Story: a VM pays for a call to another upstream, and the VM that was to make it
+/// sends it back. What was paid for nothing can be spent again, once; what lies
+/// outside of both windows changes nothing.
+#[test]
+fn what_was_paid_for_nothing_can_be_spent_again_once() {
+    let policy = policy();
+    let mut budget = forward::Budget::default();
+    let part = forward::Part::of(4);
+    let now = clock::Moment::from_millis(60_000);
+    while budget.extra(&policy, part, now) {}
+    budget.refund(&policy, clock::Moment::from_millis(10_000), now);
+    assert!(!budget.extra(&policy, part, now));
+    let later = now + time::Duration::from_millis(900);
+    budget.refund(&policy, now, later);
+    assert!(budget.extra(&policy, part, later));
+    assert!(!budget.extra(&policy, part, later));
+}
+
 /// Story: all VMs of a fleet are alike. Nobody makes calls for small VMs, so each
 /// holds an even part, and none asks another.
 #[test]
