--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -4,6 +4,7 @@
 mod orphans;
 mod relay;
 mod serve;
+mod told;
 
 pub(super) use orphans::ORPHAN_GRACE;
 
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -21,6 +21,25 @@
         self.suffices(live)
     }
 
+    /// The upstream for a part's next call. Where all of a search's part were
+    /// called, those that declined may be called again.
+    fn upstream(
+        &mut self,
+        place: usize,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+    ) -> Option<registry::Handle> {
+        let usual = self.times.median();
+        let is_sharded = self.is_sharded();
+        let part = &mut self.parts[place];
+        let upstream = fleet.choose(&part.service, &part.tried, usual, now);
+        if upstream.is_some() || !is_sharded || !part.calls.is_empty() {
+            return upstream;
+        }
+        part.forgive();
+        fleet.choose(&part.service, &part.tried, usual, now)
+    }
+
     /// Makes a call for a part; marks the part failed where none can be made.
     pub(super) fn call(
         &mut self,
@@ -30,20 +49,10 @@
         now: clock::Moment,
         actions: &mut Vec<forward::Action>,
     ) {
-        let usual = self.times.median();
-        let is_sharded = self.is_sharded();
-        let part = &mut self.parts[place];
-        let mut upstream = fleet.choose(&part.service, &part.tried, usual, now);
-        if upstream.is_none() && is_sharded && part.calls.is_empty() {
-            part.forgive();
-            upstream = fleet.choose(&part.service, &part.tried, usual, now);
-        }
-        let Some(upstream) = upstream else {
-            if part.calls.is_empty() {
-                self.fail(place, forward::Reason::NoUpstream);
-            }
-            return;
+        let Some(upstream) = self.upstream(place, fleet, now) else {
+            return self.fail_unless_called(place, forward::Reason::NoUpstream);
         };
+        let part = &mut self.parts[place];
         let payer = if part.arrivals > 0 {
             fleet.extra(&part.service, now)
         } else {
@@ -51,10 +60,7 @@
         };
         let Some(payer) = payer else {
             part.unpaid = true;
-            if part.calls.is_empty() {
-                self.fail(place, forward::Reason::NoRoom);
-            }
-            return;
+            return self.fail_unless_called(place, forward::Reason::NoRoom);
         };
         let id = fleet.next_call();
         fleet.standing(upstream).start();
@@ -95,10 +101,7 @@
         part.may_have_run -= 1;
         part.not_run += 1;
         if part.not_run > part::MAX_NOT_RUN {
-            if part.calls.is_empty() {
-                self.fail(place, forward::Reason::NoRoom);
-            }
-            return;
+            return self.fail_unless_called(place, forward::Reason::NoRoom);
         }
         self.again(place, forward::Why::NotRun, fleet, now, actions);
     }
@@ -138,9 +141,7 @@
         part.may_have_run -= 1;
         part.unpaid = true;
         part.tried.retain(|tried| *tried != upstream);
-        if part.calls.is_empty() {
-            self.fail(place, forward::Reason::NoRoom);
-        }
+        self.fail_unless_called(place, forward::Reason::NoRoom);
     }
 
     /// Calls again after a call of the part ended without a reply of use.
@@ -163,8 +164,8 @@
         };
         if may {
             self.call(place, why, fleet, now, actions);
-        } else if part.calls.is_empty() {
-            self.fail(place, forward::Reason::UpstreamsFailed);
+        } else {
+            self.fail_unless_called(place, forward::Reason::UpstreamsFailed);
         }
         self.plan_hedges();
     }
@@ -266,9 +267,10 @@
         actions.extend(lost.map(|call| forward::Action::Abandon(call.id)));
     }
 
-    pub(super) fn fail(&mut self, place: usize, reason: forward::Reason) {
+    /// Gives a part up where no call of it is under way.
+    fn fail_unless_called(&mut self, place: usize, reason: forward::Reason) {
         let part = &mut self.parts[place];
-        if part.is_open() {
+        if part.is_open() && part.calls.is_empty() {
             part.state = part::State::Failed(reason);
             part.hedge_at = None;
             self.open -= 1;
