--- a/crates/geraniumgauge/src/edge/call.rs
+++ b/crates/geraniumgauge/src/edge/call.rs
@@ -93,6 +93,16 @@
     Ask { ask: u64, remote: u64 },
 }
 
+impl Owner {
+    /// The part of request `job` that `send` is for.
+    pub(super) fn of(job: u64, send: &forward::Send) -> Self {
+        Self::Job {
+            job,
+            part: send.part,
+        }
+    }
+}
+
 /// A call that was begun and hasn't ended.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -134,4 +144,13 @@
             orphaned: false,
         }
     }
+
+    /// What is learned by of its upstream.
+    pub(super) fn made(&self) -> forward::Made {
+        forward::Made {
+            upstream: self.upstream,
+            began: self.began,
+            usual: self.usual,
+        }
+    }
 }
--- a/crates/geraniumgauge/src/edge/count.rs
+++ b/crates/geraniumgauge/src/edge/count.rs
@@ -79,14 +79,7 @@
 
     /// A call began.
     pub fn call(&self, why: forward::Why) {
-        let why = match why {
-            forward::Why::First => "first",
-            forward::Why::Hedge => "hedge",
-            forward::Why::Silent => "silent",
-            forward::Why::NotRun => "not_run",
-            forward::Why::Failed => "failed",
-        };
-        self.calls.add(1, &[KeyValue::new("why", why)]);
+        self.calls.add(1, &[KeyValue::new("why", why.name())]);
     }
 
     /// A call ended.
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -256,15 +256,8 @@
             }
             match call.owner {
                 call::Owner::Ask { ask, remote } => {
-                    let end = forward::End {
-                        call: ended.call,
-                        part: 0,
-                        verdict: ended.verdict,
-                        took,
-                    };
-                    self.fleet
-                        .learn(call.upstream, &end, call.began, call.usual, now);
-                    self.ask_ended(ask, remote, end, now);
+                    self.fleet.learn(&call.made(), &ended.verdict, took, now);
+                    self.ask_ended(ask, remote, ended.verdict, took, now);
                 }
                 call::Owner::Job { job, part } => {
                     self.job_ended(job, part, &call, ended, took, now);
@@ -312,10 +305,7 @@
         };
         self.count.call(send.why);
         let message = running.message.clone();
-        let owner = call::Owner::Job {
-            job,
-            part: send.part,
-        };
+        let owner = call::Owner::of(job, &send);
         let usual = running.job.times().median();
         self.tell_extra(&message, &send, now);
         let call = call::Call::new(owner, send.upstream, message, usual, now);
--- a/crates/geraniumgauge/src/edge/state/orphans.rs
+++ b/crates/geraniumgauge/src/edge/state/orphans.rs
@@ -22,16 +22,11 @@
         verdict: &forward::Verdict,
         now: clock::Moment,
     ) {
-        let orphan = forward::Orphan {
-            upstream: call.upstream,
-            began: call.began,
-            usual: call.usual,
-        };
         let replied = matches!(
             verdict,
             forward::Verdict::Good(_) | forward::Verdict::Failure(_)
         );
-        self.fleet.orphan_ended(&orphan, replied, now);
+        self.fleet.orphan_ended(&call.made(), replied, now);
     }
 
     /// Nobody waits for a call any more.
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -116,7 +116,7 @@
         let message = running.message.clone();
         let usual = running.job.times().median();
         for send in sends {
-            let owner = owner(job, &send);
+            let owner = call::Owner::of(job, &send);
             let call = call::Call::new(owner, send.upstream, message.clone(), usual, now);
             self.calls.insert(send.call, call);
             self.end(send.call, forward::Verdict::Unpaid, now);
@@ -181,7 +181,7 @@
         for send in sends {
             self.count.call(send.why);
             self.tell_extra(&message, &send, now);
-            let owner = owner(job, &send);
+            let owner = call::Owner::of(job, &send);
             let mut call = call::Call::new(owner, send.upstream, message.clone(), usual, now);
             call.via = Some(address);
             self.calls.insert(send.call, call);
@@ -264,10 +264,3 @@
         self.relays.lost(address);
     }
 }
-
-fn owner(job: u64, send: &forward::Send) -> call::Owner {
-    call::Owner::Job {
-        job,
-        part: send.part,
-    }
-}
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -182,11 +182,10 @@
     /// Counts another VM's call to an upstream, and pays for it where this VM is
     /// to; whether it may be made.
     fn is_paid(&mut self, upstream: registry::Handle, terms: Terms, now: clock::Moment) -> bool {
-        let service = self.fleet.registry.get(upstream).entry.service.clone();
         if terms.first {
-            self.fleet.first_of_other(&service, now);
+            self.fleet.first_of_other(upstream, now);
         }
-        !terms.unpaid || self.fleet.lend(&service, now)
+        !terms.unpaid || self.fleet.lend(upstream, now)
     }
 
     /// Another VM doesn't wait for these calls any more.
@@ -209,14 +208,15 @@
         &mut self,
         id: u64,
         remote: u64,
-        ended: forward::End,
+        verdict: forward::Verdict,
+        took: time::Duration,
         now: clock::Moment,
     ) {
         let Some(ask) = self.peers.asks.get_mut(&id) else {
             return;
         };
         ask.pending.remove(&remote);
-        let (how, reply) = match ended.verdict {
+        let (how, reply) = match verdict {
             forward::Verdict::Good(reply) => (frame::How::Good, Some(reply)),
             forward::Verdict::Failure(_) => (frame::How::Failure, None),
             forward::Verdict::NotRun => (frame::How::NotRun, None),
@@ -227,7 +227,7 @@
             forward::Verdict::Lost => (frame::How::Lost, None),
         };
         let mut end = frame::End::new(remote, how);
-        end.took_us = clock::micros(ended.took);
+        end.took_us = clock::micros(took);
         match reply {
             Some(reply) => {
                 end.signature = reply.signature.unwrap_or_default();
@@ -246,21 +246,12 @@
         let Some(ask) = self.peers.asks.get(&id) else {
             return;
         };
-        let peer = ask.peer;
+        let (peer, last) = (ask.peer, ask.pending.is_empty());
         let told = frame::Told {
             ends,
             ..frame::Told::default()
         };
         self.tell(peer, told);
-        self.tell_good_if_last(id, now);
-    }
-
-    fn tell_good_if_last(&mut self, id: u64, now: clock::Moment) {
-        let last = self
-            .peers
-            .asks
-            .get(&id)
-            .is_some_and(|ask| ask.pending.is_empty());
         if last {
             self.tell_good(id, now);
         }
--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -3,7 +3,7 @@
 //! The fleet may make so many extra calls to a service in a window. Divided
 //! evenly, each of some sixty VMs holds a handful: those that meet a slow
 //! upstream run out while the others keep theirs. So where a fleet has large VMs
-//! that make the small ones' calls, they hold most of the allowance, and a small
+//! that make the small ones' calls, they hold half of the allowance, and a small
 //! VM that has spent its own part asks one of them to make a call and to pay for
 //! it, in the message that asks for the call anyway.
 //!
@@ -19,7 +19,7 @@
 use crate::time as clock;
 
 /// Part of the allowance that VMs keep for their own calls where large VMs hold
-/// the rest: enough for a call now and then where no large VM can be asked.
+/// the rest. It is all there is for a window after large VMs started.
 const KEPT: f64 = 0.5;
 
 /// The parts of the fleet's allowance that a VM spends.
@@ -27,8 +27,7 @@
 pub struct Parts {
     /// For its own calls.
     own: forward::Part,
-    /// For its own and other VMs' calls, where it is one of those that hold most
-    /// of the allowance.
+    /// For its own and other VMs' calls, where it is large.
     lent: Option<forward::Part>,
     /// Whether other VMs may be asked to pay.
     may_ask: bool,
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -23,9 +23,9 @@
     pub data_centre: ids::DataCentre,
 }
 
-/// A call that nobody waits for any more.
+/// A call that was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Orphan {
+pub struct Made {
     /// Where it runs.
     pub upstream: registry::Handle,
     /// When it began.
@@ -134,14 +134,15 @@
         self.allowance.refund(service, &self.policy, paid, now);
     }
 
-    /// Counts a request to `service` of another VM, whose first call this one
-    /// makes.
-    pub fn first_of_other(&mut self, service: &ids::Service, now: clock::Moment) {
+    /// Counts a request of another VM, whose first call this one makes.
+    pub fn first_of_other(&mut self, upstream: registry::Handle, now: clock::Moment) {
+        let service = &self.registry.get(upstream).entry.service;
         self.allowance.first_of_other(service, &self.policy, now);
     }
 
-    /// Pays for another VM's extra call to `service`, where there is room.
-    pub fn lend(&mut self, service: &ids::Service, now: clock::Moment) -> bool {
+    /// Pays for another VM's extra call, where there is room.
+    pub fn lend(&mut self, upstream: registry::Handle, now: clock::Moment) -> bool {
+        let service = &self.registry.get(upstream).entry.service;
         self.allowance.lend(service, &self.policy, now)
     }
 
@@ -224,26 +225,24 @@
         near(upstream) || ready && !others.iter().any(|other| near(*other))
     }
 
-    /// Takes what the end of a call shows of its upstream; the call began at
-    /// `began` and usually takes `usual`.
+    /// Takes what the end of a call, after `took`, shows of its upstream.
     pub fn learn(
         &mut self,
-        upstream: registry::Handle,
-        end: &forward::End,
-        began: clock::Moment,
-        usual: time::Duration,
+        made: &Made,
+        verdict: &forward::Verdict,
+        took: time::Duration,
         now: clock::Moment,
     ) {
-        let standing = self.standing(upstream);
+        let standing = self.standing(made.upstream);
         standing.end();
-        match end.verdict {
+        match verdict {
             forward::Verdict::Good(_) => {
-                standing.replied(forward::ratio(end.took, usual), began, now);
+                standing.replied(forward::ratio(took, made.usual), made.began, now);
             }
             forward::Verdict::Failure(_) | forward::Verdict::Lost => standing.failed(now),
             forward::Verdict::NotRun => standing.full(forward::NO_ROOM_PAUSE, now),
             forward::Verdict::Misdirected => standing.misdirected(),
-            forward::Verdict::Advised(advice) => standing.hear(advice, now),
+            forward::Verdict::Advised(advice) => standing.hear(*advice, now),
             forward::Verdict::NotSent | forward::Verdict::Unpaid => {}
         }
     }
@@ -260,9 +259,8 @@
         let other = |other: &registry::Handle| {
             let usable = self.registry.get(*other).usable(now) == registry::Use::Full;
             let standing = self.standings.get(other.index());
-            let well =
-                |standing: &forward::Standing| standing.up(now) && standing.advice(now).is_none();
-            *other != upstream && usable && standing.is_none_or(well)
+            let well = standing.is_none_or(|standing| standing.advice(now).is_none());
+            *other != upstream && usable && well
         };
         self.registry
             .of(service)
@@ -273,7 +271,7 @@
 
     /// Takes the end of a call that nobody waited for any more: with a reply
     /// after `took`, or given up without one.
-    pub fn orphan_ended(&mut self, orphan: &Orphan, replied: bool, now: clock::Moment) {
+    pub fn orphan_ended(&mut self, orphan: &Made, replied: bool, now: clock::Moment) {
         let ratio = forward::ratio(now.since(orphan.began), orphan.usual);
         let standing = self.standing(orphan.upstream);
         standing.end();
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -21,8 +21,8 @@
         self.suffices(live)
     }
 
-    /// The upstream for a part's next call. Where all of a search's part were
-    /// called, those that declined may be called again.
+    /// The upstream for a part's next call. Where a search has called all of the
+    /// part's upstreams, those that declined may be called again.
     fn upstream(
         &mut self,
         place: usize,
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -180,7 +180,12 @@
         let Some(call) = part.take(end.call) else {
             return;
         };
-        fleet.learn(call.upstream, &end, call.began, self.times.median(), now);
+        let made = forward::Made {
+            upstream: call.upstream,
+            began: call.began,
+            usual: self.times.median(),
+        };
+        fleet.learn(&made, &end.verdict, end.took, now);
         match end.verdict {
             forward::Verdict::Good(reply) => {
                 self.times.add(end.took);
--- a/crates/geraniumgauge/src/forward/lag.rs
+++ b/crates/geraniumgauge/src/forward/lag.rs
@@ -5,16 +5,31 @@
 /// Largest estimate. Beyond it, acting on it wouldn't help any more.
 const MOST: time::Duration = time::Duration::from_millis(20);
 
+/// Weights by which an estimate follows later and earlier ones. Their ratio says
+/// which part of all comes by it: nine of ten.
+const USUAL: Weights = Weights {
+    up: 0.18,
+    down: 0.02,
+};
+/// Likewise for some 97 of 100.
+const RARE: Weights = Weights {
+    up: 0.16,
+    down: 0.005,
+};
+
+#[derive(Debug, Clone, Copy)]
+struct Weights {
+    up: f64,
+    down: f64,
+}
+
 /// A running estimate of how late most of something comes: this process's own
 /// turns after a timer's point, or the messages of another VM. On a part of a
 /// core, a turn has to wait for the others.
 #[derive(Debug, Clone, Copy)]
 pub struct Lag {
     seconds: f64,
-    /// Weights by which the estimate follows later and earlier ones: their ratio
-    /// says which part of all it keeps above.
-    up: f64,
-    down: f64,
+    weights: Weights,
 }
 
 impl Lag {
@@ -22,8 +37,7 @@
     pub fn usual() -> Self {
         Self {
             seconds: 0.0,
-            up: 0.18,
-            down: 0.02,
+            weights: USUAL,
         }
     }
 
@@ -31,8 +45,7 @@
     pub fn rare() -> Self {
         Self {
             seconds: MOST.as_secs_f64() / 2.0,
-            up: 0.16,
-            down: 0.005,
+            weights: RARE,
         }
     }
 
@@ -40,9 +53,9 @@
     pub fn add(&mut self, late: time::Duration) {
         let late = late.min(MOST).as_secs_f64();
         let weight = if late > self.seconds {
-            self.up
+            self.weights.up
         } else {
-            self.down
+            self.weights.down
         };
         self.seconds += weight * (late - self.seconds);
     }
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -25,7 +25,7 @@
 pub use budget::Budget;
 pub use budget::Part;
 pub use fleet::Fleet;
-pub use fleet::Orphan;
+pub use fleet::Made;
 pub use fleet::Own;
 pub use job::Job;
 pub use job::Request;
@@ -55,14 +55,11 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
     /// Part of a route's aim after which a call counts as late and its part is
-    /// hedged. A third leaves the other upstream time to answer within the aim;
-    /// 22 in a hundred was worth no more on any of twelve days.
+    /// hedged. A third leaves the other upstream time to answer within the aim.
     pub hedge_at: rate::Share,
     /// Left of the aim when an answer must be on its way, beside this process's
     /// own lag. Callers are up to 3 ms away one way and mostly open a connection
-    /// first: four ways. With 9 ms a fleet of small VMs with such callers earned
-    /// 0.68 of a quiet day's worth in place of 0.80; callers 1 ms away gained
-    /// nothing by it.
+    /// first: four ways.
     pub answer_margin: time::Duration,
     /// Left of the deadline when the final answer must be on its way.
     pub deadline_margin: time::Duration,
@@ -95,24 +92,33 @@
 /// Why a call is made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(derive_more::Display)]
+#[display("{}", self.name())]
 pub enum Why {
     /// It is the part's first.
-    #[display("first")]
     First,
     /// The upstream of the one before is late.
-    #[display("hedge")]
     Hedge,
     /// The VM that was asked to make the one before tells nothing of it.
-    #[display("silent")]
     Silent,
     /// The one before wasn't run.
-    #[display("not_run")]
     NotRun,
     /// The one before failed, and the request may run again.
-    #[display("failed")]
     Failed,
 }
 
+impl Why {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Silent => "silent",
+            Self::NotRun => "not_run",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// What is to be done for a job.
 #[derive(Debug)]
 pub enum Action {
--- a/crates/geraniumgauge/src/forward/relay.rs
+++ b/crates/geraniumgauge/src/forward/relay.rs
@@ -6,6 +6,7 @@
 //! search: at 25 microseconds of a core a call, 90 calls take 19 ms on an
 //! eighth of a core, more than the upstreams themselves.
 
+use std::collections;
 use std::net;
 use std::time;
 
@@ -51,6 +52,8 @@
 #[derive(Debug, Clone)]
 struct Known {
     helper: Helper,
+    /// Whether it may make calls for this VM.
+    suits: bool,
     connected: bool,
     waiting_since: Option<clock::Moment>,
     /// Whether a frame of it is overdue.
@@ -103,6 +106,7 @@
                 .iter()
                 .find(|known| known.helper.address == helper.address);
             Known {
+                suits: false,
                 connected: same.is_some_and(|known| known.connected),
                 waiting_since: same.and_then(|known| known.waiting_since),
                 silent: same.is_some_and(|known| known.silent),
@@ -111,11 +115,17 @@
             }
         };
         self.known = helpers.into_iter().map(known).collect();
+        let largest = self.largest();
+        let suits = |known: &Known| self.suits(&known.helper, &largest);
+        let suits: Vec<bool> = self.known.iter().map(suits).collect();
+        for (known, suits) in self.known.iter_mut().zip(suits) {
+            known.suits = suits;
+        }
     }
 
     /// The VMs to keep a connection to: those that may make calls for this one.
     pub fn wanted(&self) -> Vec<net::SocketAddr> {
-        let wanted = self.known.iter().filter(|known| self.suits(&known.helper));
+        let wanted = self.known.iter().filter(|known| known.suits);
         wanted.map(|known| known.helper.address).collect()
     }
 
@@ -133,7 +143,7 @@
         self.turn = self.turn.wrapping_add(1);
         let mut able: Vec<&Known> = self
             .in_place(data_centre)
-            .filter(|known| self.suits(&known.helper) && known.answers(now))
+            .filter(|known| known.suits && known.answers(now))
             .collect();
         // A late frame may be all that is wrong with a silent VM: it is still
         // better than many calls of a small VM's own.
@@ -216,9 +226,18 @@
 
     /// The parts of the fleet's allowance of extra calls that this VM spends.
     pub fn parts(&self) -> forward::Parts {
+        let mut largest = self.largest();
+        let own = largest.entry(&self.own).or_default();
+        *own = own.max(self.power);
+        let powers = self.known.iter().map(|known| known.helper.power);
+        let least = powers.fold(self.power, f64::min);
+        // Each VM finds the same of any, as it depends on nothing but powers.
+        let is_large = |data_centre: &ids::DataCentre, power: f64| {
+            power >= POWERFUL * largest[data_centre] && power >= LARGER * least
+        };
         let others = self.known.iter().map(|known| &known.helper);
-        let large = others.filter(|helper| self.is_large(&helper.data_centre, helper.power));
-        let own_large = self.is_large(&self.own, self.power);
+        let large = others.filter(|helper| is_large(&helper.data_centre, helper.power));
+        let own_large = is_large(&self.own, self.power);
         let large = large.count() + usize::from(own_large);
         let rank = match (own_large, large) {
             (_, 0) => forward::Rank::Equal,
@@ -228,15 +247,14 @@
         forward::Parts::new(rank, self.known.len() + 1, large)
     }
 
-    /// Whether a VM makes calls for small ones. Each VM of a fleet finds the
-    /// same of any, as it depends on nothing but their powers.
-    fn is_large(&self, data_centre: &ids::DataCentre, power: f64) -> bool {
-        let others = self.known.iter().map(|known| known.helper.power);
-        let least = others.fold(self.power, f64::min);
-        let beside = self.in_place(data_centre).map(|known| known.helper.power);
-        let own = Some(self.power).filter(|_| *data_centre == self.own);
-        let most = beside.chain(own).fold(0.0, f64::max);
-        power >= POWERFUL * most && power >= LARGER * least
+    /// The power of the largest of the other VMs in each data centre.
+    fn largest(&self) -> Largest<'_> {
+        let mut largest = Largest::new();
+        for Known { helper, .. } in &self.known {
+            let most = largest.entry(&helper.data_centre).or_default();
+            *most = most.max(helper.power);
+        }
+        largest
     }
 
     /// Whether this VM makes the calls of its searches itself, as far as it knows
@@ -282,11 +300,14 @@
         CALL.mul_f64(calls as f64 / self.power.max(0.01)) > CROWDED
     }
 
-    fn suits(&self, helper: &Helper) -> bool {
-        let beside = self.in_place(&helper.data_centre);
-        let most = beside.map(|known| known.helper.power).fold(0.0, f64::max);
-        let powerful = helper.power >= POWERFUL * most;
+    /// Whether a VM may make calls for this one, where `largest` are those of the
+    /// other VMs.
+    fn suits(&self, helper: &Helper, largest: &Largest<'_>) -> bool {
+        let powerful = helper.power >= POWERFUL * largest[&helper.data_centre];
         let near = helper.data_centre == self.own;
         powerful && (!near || helper.power >= LARGER * self.power)
     }
 }
+
+/// The power of the largest VM of each data centre.
+type Largest<'n> = collections::BTreeMap<&'n ids::DataCentre, f64>;
--- a/crates/geraniumgauge/src/forward/standing.rs
+++ b/crates/geraniumgauge/src/forward/standing.rs
@@ -38,10 +38,7 @@
 /// left after this time, and it is tried again.
 const FORGET_DECLINED: time::Duration = time::Duration::from_millis(4000);
 /// What a call that will be declined costs: another call a while later, out of a
-/// budget that other calls need more. Where 20 of 46 upstreams declined a part of
-/// their calls, searches that failed went from 25 in 1,000 to 4, and on a fleet of
-/// 71 VMs from 115 in 1,000 to 2; with 60 ms to 20 there. Where upstreams
-/// decline because they are full, both of a shard do, and it changed nothing.
+/// budget that other calls need more.
 const DECLINED: time::Duration = time::Duration::from_millis(150);
 /// How much slower an upstream is taken to be that is warming up.
 const COLD: f64 = 1.6;
