Logs tell what puts off a VM's own look, and what an answer of another VM cost

Added: teller, age and dues of each look that is put off, time and size of answers at both ends, time of each look. No decision changes.

--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -106,8 +106,17 @@
         };
         let teller = self.teller.borrow();
         if let Some(answer) = teller.as_ref().map(|answer| answer(&fetch)) {
+            let bytes = answer.config.as_ref().map(String::len);
             let kind = frame::Kind::Answer(answer.into());
-            self.state.borrow_mut().send_to(peer, kind);
+            let mut state = self.state.borrow_mut();
+            state.send_to(peer, kind);
+            if let Some(bytes) = bytes {
+                let sending = state.sending();
+                log::info!(
+                    vm:% = fetch.member.vm, config_bytes = bytes, sending = sending;
+                    "configuration told to another VM"
+                );
+            }
         }
     }
 
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -312,6 +312,12 @@
         self.send_to(peer, frame::Kind::Told(told));
     }
 
+    /// Connections of other VMs on which bytes wait to be sent.
+    pub(in crate::edge) fn sending(&self) -> usize {
+        let senders = self.peers.incoming.values();
+        senders.filter(|sender| sender.is_writing()).count()
+    }
+
     /// Sends a message to a VM that has connected.
     pub(in crate::edge) fn send_to(&mut self, peer: u64, kind: frame::Kind) {
         let bytes = frame::Frame::bytes(kind);
--- a/crates/geraniumgauge/src/spread/service.rs
+++ b/crates/geraniumgauge/src/spread/service.rs
@@ -266,11 +266,12 @@
         let took = self.clock().now().since(began);
         let answer = match answer {
             Ok(mut answer) => {
+                log_answer(from, &answer, took);
                 self.take_answer(from, &mut answer);
                 Some(answer)
             }
             Err(error) => {
-                log::info!(vm:% = from, error:% = error; "VM doesn't answer");
+                log::info!(vm:% = from, error:% = error, took_ms = clock::millis(took); "VM doesn't answer");
                 None
             }
         };
@@ -287,3 +288,16 @@
         self.0.missed.notified().await;
     }
 }
+
+/// Logs what another VM has told, where it is more than its summary.
+fn log_answer(from: net::SocketAddr, answer: &spread::Answer, took: time::Duration) {
+    let Some(config) = &answer.config else {
+        return;
+    };
+    let look = answer.summary.look.as_ref();
+    log::info!(
+        vm:% = from, config_bytes = config.len(), took_ms = clock::millis(took),
+        look_age_ms:? = look.map(|look| clock::millis(look.age));
+        "another VM told its configuration"
+    );
+}
--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng as _;
 
+use crate::ids;
 use crate::spread;
 use crate::spread::state;
 use crate::time as clock;
@@ -195,13 +196,21 @@
     }
 
     /// Another VM says that the store is away.
-    pub(super) fn hear_away(&mut self, now: clock::Moment) {
+    pub(super) fn hear_away(&mut self, teller: &ids::Vm, now: clock::Moment) {
+        let age_ms = self.age(now).map(clock::millis);
         if !self.away {
-            log::info!(age_ms:? = self.age(now).map(clock::millis); "another VM can't read the store");
+            log::info!(age_ms:? = age_ms, teller:% = teller; "another VM can't read the store");
             self.draw_try(now);
         }
         self.away = true;
+        let before = self.look_at;
         self.postpone(now);
+        log::info!(
+            age_ms:? = age_ms, teller:% = teller, failures = self.failures,
+            due_before_ms:? = clock::millis(now.until(before)),
+            due_ms = clock::millis(now.until(self.look_at));
+            "own look put off"
+        );
     }
 
     /// Draws when this VM tries a store that is away, so that all of them
--- a/crates/geraniumgauge/src/spread/state/tell.rs
+++ b/crates/geraniumgauge/src/spread/state/tell.rs
@@ -50,7 +50,7 @@
             self.differs(from, now);
         }
         if update.away {
-            self.hear_away(now);
+            self.hear_away(&update.vm, now);
         }
         if let Some(look) = &summary.look {
             self.members.looked(&look.vm, now);
--- a/crates/geraniumgauge/src/spread/store.rs
+++ b/crates/geraniumgauge/src/spread/store.rs
@@ -9,6 +9,7 @@
 use crate::registry;
 use crate::spread;
 use crate::store;
+use crate::time as clock;
 use crate::timer;
 
 /// Pause after changes, in which more of them gather for one call.
@@ -91,10 +92,15 @@
                 () = service.look_wanted() => {}
             }
             let began = service.clock().now();
-            let age = match self.look(&service).await {
-                Ok(()) => Some(service.clock().now().since(began)),
+            let looked = self.look(&service).await;
+            let took = service.clock().now().since(began);
+            let age = match looked {
+                Ok(()) => {
+                    log::info!(took_ms = clock::millis(took); "looked at the store");
+                    Some(took)
+                }
                 Err(error) => {
-                    log::info!(error:% = error; "look failed");
+                    log::info!(error:% = error, took_ms = clock::millis(took); "look failed");
                     None
                 }
             };
