--- /dev/null
+++ b/crates/geraniumgauge/src/spread/tests/large.rs
@@ -0,0 +1,101 @@
+//! Configurations that a link carries only a few times a second.
+
+use std::time;
+
+use crate::follow;
+use crate::ids;
+use crate::spread;
+use crate::spread::tests::world;
+use crate::spread::tests::world::SECOND;
+
+/// Within which a change must be in force.
+const APPLY: time::Duration = time::Duration::from_secs(6);
+/// Looks of those that read the store for all, meanwhile, and of a few others.
+const LOOKS: u64 = 12;
+
+/// Guards against a configuration that all VMs of a data centre ask one VM for,
+/// whose link carries none of so many answers before they wait no longer.
+#[test]
+fn a_large_configuration_reaches_all_by_narrow_links() {
+    for (count, seed) in [61, 295]
+        .into_iter()
+        .flat_map(|c| (0..4).map(move |s| (c, s)))
+    {
+        let mut world = world::settled(count, seed);
+        world.size = 7e5;
+        for round in 0..3 {
+            world.change();
+            let before = world.looks;
+            let took = world.until(APPLY, world::World::all_hold);
+            assert!(took.is_some(), "{count} VMs, seed {seed}, round {round}");
+            let looks = world.looks - before;
+            assert!(
+                looks <= LOOKS,
+                "{count} VMs, seed {seed}, round {round}: {looks} looks"
+            );
+            world.run(3 * SECOND);
+        }
+    }
+}
+
+/// Guards against a VM that knows of a newer configuration, can't get it from
+/// others, and is kept from the store by word that it is away.
+#[test]
+fn word_of_an_outage_keeps_no_vm_from_what_it_lacks() {
+    for seed in 0..8 {
+        let mut world = world::settled(61, seed);
+        let (now, from) = (world.now, "10.0.0.1:7000".parse().expect("an address"));
+        let alone = world.vms.iter().position(|vm| vm.state.duty(now).is_none());
+        let state = &mut world.vms[alone.expect("most VMs don't look for all")].state;
+        let known = state.holds();
+        let age = state.age(now).expect("it heard of looks");
+        let mut number = 1 << 60;
+        let mut at = now;
+        let looked = loop {
+            number += 1;
+            state.heard(from, away(known, number), at);
+            let mut looked = false;
+            for action in state.tick(at) {
+                match action {
+                    spread::Action::Fetch { from, .. } => {
+                        state.answered(from, None, SECOND, at);
+                    }
+                    spread::Action::Look => looked = true,
+                    _ => {}
+                }
+            }
+            if looked || at.since(now) > 10 * APPLY {
+                break age + at.since(now);
+            }
+            at = at + SECOND / 4;
+        };
+        // The rest of the bound is for the look itself.
+        assert!(looked < APPLY * 5 / 6, "seed {seed}: {looked:?}");
+    }
+}
+
+/// A VM tells of a newer configuration, and that the store is away.
+fn away(known: spread::Holds, number: u64) -> spread::Datagram {
+    spread::Datagram::Update(spread::Update {
+        vm: "vm-1".parse().expect("a name"),
+        summary: spread::Summary {
+            holds: spread::Holds {
+                revision: Some(ids::Revision(99)),
+                digest: follow::Digest(5),
+                config: Some(ids::Revision(99)),
+                ..known
+            },
+            sure: true,
+            look: Some(spread::Look {
+                vm: "vm-1".parse().expect("a name"),
+                number,
+                age: time::Duration::ZERO,
+            }),
+            vms: None,
+            members: 0,
+        },
+        away: true,
+        pass: spread::Pass::None,
+        changes: None,
+    })
+}
--- a/crates/geraniumgauge/src/spread/tests/mod.rs
+++ b/crates/geraniumgauge/src/spread/tests/mod.rs
@@ -1,3 +1,5 @@
+mod large;
+pub(crate) mod links;
 mod member;
 mod service;
 mod start;
