Word that the store is away keeps no VM from what it lacks

Cause: each update that said the store is away put a VM's own look off by 1.4 to 1.8 look periods from then, also where the same update told of a newer configuration that this VM could get from nobody. The word came each second or so, so it never looked; and it was false, the store served everybody.

What others say is no proof about this VM's own view. One that knows of something newer isn't put off by it, nor beyond 1.8 look periods by waiting for an answer; one that knows of nothing newer relies on it for 6 to 8 periods since the last look it holds or failed to make, drawn so that no herd knocks.

--- a/crates/geraniumgauge/src/spread/state/ask.rs
+++ b/crates/geraniumgauge/src/spread/state/ask.rs
@@ -149,7 +149,7 @@
         if summary.members != self.members.digest() && !answer.records.is_empty() {
             self.tell_records(from, answer, now);
         }
-        if self.lacks(&summary.holds, summary.sure) {
+        if self.note_lack(summary) {
             // Changes may not have led there; what a brief answer lacks is asked
             // for near.
             if answer.registrations.is_some() && !whole {
--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -39,6 +39,10 @@
 /// The same in a fleet that starts for the first time, where VMs have yet to find
 /// each other.
 const FIRST_WAIT: f64 = 1.0;
+/// Look periods for which a VM relies on others' word that the store is away, since
+/// a look that it holds or failed to make. The store may serve this VM and not
+/// those it hears; drawn, so that not all try at once.
+const RELIANCE: std::ops::Range<f64> = 6.0..8.0;
 /// Tries a second of all VMs that don't look for all, while the store is away.
 const TRIES: f64 = 2.0;
 
@@ -177,6 +181,7 @@
             log::warn!(age_ms:? = self.age(now).map(clock::millis); "store can't be read");
         }
         self.away = true;
+        self.draw_reliance(now);
         self.postpone(now);
         if self.duty(now).is_some() {
             let jitter = self.rng.random_range(spread::store::JITTER);
@@ -195,7 +200,9 @@
         self.away || lag >= self.period * LONGEST_LAG
     }
 
-    /// Another VM says that the store is away.
+    /// Another VM says that the store is away. That is no proof that this one
+    /// can't read it: what is known to be lacking, or was last seen long ago, is
+    /// looked for all the same.
     pub(super) fn hear_away(&mut self, teller: &ids::Vm, now: clock::Moment) {
         let age_ms = self.age(now).map(clock::millis);
         if !self.away {
@@ -203,16 +210,31 @@
             self.draw_try(now);
         }
         self.away = true;
+        if self.is_behind() {
+            return;
+        }
         let before = self.look_at;
         self.postpone(now);
+        self.look_at = self.look_at.min(self.rely_until);
         log::info!(
             age_ms:? = age_ms, teller:% = teller, failures = self.failures,
-            due_before_ms:? = clock::millis(now.until(before)),
+            due_before_ms = clock::millis(now.until(before)),
             due_ms = clock::millis(now.until(self.look_at));
             "own look put off"
         );
     }
 
+    /// Whether this VM knows that others hold something newer.
+    fn is_behind(&self) -> bool {
+        let told = self.heard_of.as_ref();
+        told.is_some_and(|(holds, sure)| self.lacks(holds, *sure))
+    }
+
+    /// Draws how long this VM relies on others, from `since`.
+    fn draw_reliance(&mut self, since: clock::Moment) {
+        self.rely_until = since + self.part(RELIANCE);
+    }
+
     /// Draws when this VM tries a store that is away, so that all of them
     /// together make a few tries a second.
     fn draw_try(&mut self, now: clock::Moment) {
@@ -240,13 +262,11 @@
     /// Another VM has looked, and is asked what it saw: this one waits for the
     /// answer, but not for long.
     pub(super) fn await_answer(&mut self, now: clock::Moment) {
-        let since = self
-            .latest
-            .as_ref()
-            .map_or(self.started, |latest| latest.at);
-        if now.since(since) < self.period.mul_f64(ALONE.end) {
-            self.look_at = self.look_at.max(now + self.period.mul_f64(ANSWER));
-        }
+        let latest = self.latest.as_ref();
+        let since = latest.map_or(self.started, |latest| latest.at);
+        let last = since + self.period.mul_f64(ALONE.end);
+        let answered = now + self.period.mul_f64(ANSWER);
+        self.look_at = self.look_at.max(answered.min(last));
     }
 
     /// Takes a look that what this VM holds includes.
@@ -269,6 +289,7 @@
             at,
         });
         self.away = false;
+        self.draw_reliance(at);
         self.draw_look(at, now);
         self.draw_ask(at);
     }
--- a/crates/geraniumgauge/src/spread/state/mod.rs
+++ b/crates/geraniumgauge/src/spread/state/mod.rs
@@ -148,6 +148,10 @@
     duty_since: Option<clock::Moment>,
     /// When a VM that doesn't read for all looks for itself.
     look_at: clock::Moment,
+    /// Until when it may leave that to others at most, whatever they say.
+    rely_until: clock::Moment,
+    /// What others hold that this VM lacked, and whether they are sure of it.
+    heard_of: Option<(spread::Holds, bool)>,
     /// Whether the store was last found or said to be away.
     away: bool,
     /// Own looks that failed in a row.
@@ -220,6 +224,8 @@
             own_look: None,
             duty_since: None,
             look_at: now + OPENING,
+            rely_until: now + period,
+            heard_of: None,
             away: false,
             failures: 0,
             backoff: spread::store::backoff(),
@@ -323,6 +329,15 @@
         }
     }
 
+    /// Whether another VM's news show what this VM lacks, which it remembers then.
+    fn note_lack(&mut self, summary: &spread::Summary) -> bool {
+        let lacks = self.lacks(&summary.holds, summary.sure);
+        if lacks {
+            self.heard_of = Some((summary.holds, summary.sure));
+        }
+        lacks
+    }
+
     /// How many VMs there are, this one included; `None` where this VM can't
     /// tell yet.
     pub fn vms(&self, now: clock::Moment) -> Option<usize> {
--- a/crates/geraniumgauge/src/spread/state/tell.rs
+++ b/crates/geraniumgauge/src/spread/state/tell.rs
@@ -49,6 +49,7 @@
         if summary.members != self.members.digest() {
             self.differs(from, now);
         }
+        let lacks = self.note_lack(summary);
         if update.away {
             self.hear_away(&update.vm, now);
         }
@@ -56,7 +57,7 @@
             self.members.looked(&look.vm, now);
         }
         let first = update.pass == spread::Pass::First;
-        if self.lacks(&summary.holds, summary.sure) {
+        if lacks {
             self.want(from);
             if summary.look.is_some() {
                 self.await_answer(now);
--- a/crates/geraniumgauge/src/spread/tests/large.rs
+++ b/crates/geraniumgauge/src/spread/tests/large.rs
@@ -47,13 +47,12 @@
         let (now, from) = (world.now, "10.0.0.1:7000".parse().expect("an address"));
         let alone = world.vms.iter().position(|vm| vm.state.duty(now).is_none());
         let state = &mut world.vms[alone.expect("most VMs don't look for all")].state;
-        let known = state.holds();
         let age = state.age(now).expect("it heard of looks");
         let mut number = 1 << 60;
         let mut at = now;
         let looked = loop {
             number += 1;
-            state.heard(from, away(known, number), at);
+            state.heard(from, away(number), at);
             let mut looked = false;
             for action in state.tick(at) {
                 match action {
@@ -75,7 +74,7 @@
 }
 
 /// A VM tells of a newer configuration, and that the store is away.
-fn away(known: spread::Holds, number: u64) -> spread::Datagram {
+fn away(number: u64) -> spread::Datagram {
     spread::Datagram::Update(spread::Update {
         vm: "vm-1".parse().expect("a name"),
         summary: spread::Summary {
@@ -83,7 +82,6 @@
                 revision: Some(ids::Revision(99)),
                 digest: follow::Digest(5),
                 config: Some(ids::Revision(99)),
-                ..known
             },
             sure: true,
             look: Some(spread::Look {
--- a/crates/geraniumgauge/src/spread/tests/state.rs
+++ b/crates/geraniumgauge/src/spread/tests/state.rs
@@ -9,6 +9,9 @@
 /// Within which a change must be in force: the look period is two fifths of it.
 const APPLY: time::Duration = time::Duration::from_secs(6);
 
+/// How much longer it may take while the store turns VMs away.
+const UNSTABLE: time::Duration = time::Duration::from_secs(15);
+
 /// Guards against a change that some VM misses, or hears of too late.
 #[test]
 fn changes_reach_all_within_the_bound_whatever_is_lost() {
@@ -87,6 +90,21 @@
     }
 }
 
+/// Guards against a VM that the store serves and that hears only VMs that it
+/// doesn't, whose word puts off its own look again and again.
+#[test]
+fn word_of_an_outage_is_not_relied_on_for_ever() {
+    for seed in 0..8 {
+        let mut world = world::settled(61, seed);
+        for vm in &mut world.vms[1..] {
+            vm.served = false;
+        }
+        world.change();
+        let took = world.until(APPLY + UNSTABLE, world::World::all_hold);
+        assert!(took.is_some(), "seed {seed}");
+    }
+}
+
 /// Guards against a duty that nobody takes over.
 #[test]
 fn those_that_look_for_all_are_replaced() {
