A VM tells a large configuration to as many others at a time as its link carries

Cause: VMs hear of a change together, and a whole data centre asked one VM at once; all answers shared its link, none was whole after the fixed wait of 1 s, all were given up and the same VMs asked the next one together. Work that is thrown away at a deadline that all share makes no progress, however long it goes on.

Now a VM sends answers that its link (limits.link_mbps) carries within 0.4 s, or one; whoever else asks is told at once to come back, when, and which VMs nearby have been told already; those that wait are told when there is room, and VMs that have just got it say so to a few. Larger VMs and those that ask for another data centre have a head start of 50 ms, large VMs read the store for all, and are told first in other data centres. A VM asks one other for a large answer, a second one after a quarter period. Own looks stay the way out, 1.95 look periods after the latest look at the most.

The fleet's model now tells a look's age from its beginning, as the program does: before, a slow look counted as fresher than it was.

--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -52,8 +52,9 @@
     teller: rc::Rc<cell::RefCell<Option<Teller>>>,
 }
 
-/// Answers other VMs that ask what this one knows.
-pub type Teller = Box<dyn Fn(&spread::Fetch) -> spread::Answer>;
+/// Answers other VMs that ask what this one knows; the answer's part of the link
+/// is given back when the connection ends.
+pub type Teller = Box<dyn Fn(&spread::Fetch) -> (spread::Answer, Option<spread::Slot>)>;
 
 /// Something that one part takes.
 type Once<T> = rc::Rc<cell::RefCell<Option<T>>>;
@@ -99,25 +100,24 @@
     }
 
     /// Answers a VM that asks what this one knows.
-    pub(super) fn answer(&self, peer: u64, fetch: wire::Fetch) {
+    pub(super) fn answer(&self, peer: u64, fetch: wire::Fetch) -> Option<spread::Slot> {
         let Some(fetch) = fetch.read() else {
             log::warn!(peer = peer; "question of a VM can't be read");
-            return;
+            return None;
         };
         let teller = self.teller.borrow();
-        if let Some(answer) = teller.as_ref().map(|answer| answer(&fetch)) {
-            let bytes = answer.config.as_ref().map(String::len);
-            let kind = frame::Kind::Answer(answer.into());
-            let mut state = self.state.borrow_mut();
-            state.send_to(peer, kind);
-            if let Some(bytes) = bytes {
-                let sending = state.sending();
-                log::info!(
-                    vm:% = fetch.member.vm, config_bytes = bytes, sending = sending;
-                    "configuration told to another VM"
-                );
-            }
+        let (answer, slot) = teller.as_ref().map(|answer| answer(&fetch))?;
+        let config = answer.config.as_ref().map(String::len);
+        let kind = frame::Kind::Answer(answer.into());
+        let mut state = self.state.borrow_mut();
+        state.send_to(peer, kind);
+        if let Some(bytes) = config {
+            log::info!(
+                vm:% = fetch.member.vm, config_bytes = bytes, sending = state.sending();
+                "configuration told to another VM"
+            );
         }
+        slot
     }
 
     /// The registration of an upstream.
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -90,6 +90,7 @@
     let peer = engine.with(|state, _| state.peer_came(sender));
     // A question ends with its connection, which is nothing to tell.
     let mut asks = true;
+    let mut slot = None;
     let error = read(reader, |kind| match kind {
         frame::Kind::Ask(ask) => engine.with(|state, now| state.asked(peer, ask, now)),
         frame::Kind::Leave(leave) => {
@@ -97,7 +98,7 @@
         }
         frame::Kind::Fetch(fetch) => {
             asks = false;
-            engine.answer(peer, fetch);
+            slot = engine.answer(peer, fetch);
         }
         frame::Kind::Told(_) | frame::Kind::Bye(_) | frame::Kind::Answer(_) => {
             log::warn!(peer = peer; "unexpected message of a VM")
@@ -107,6 +108,7 @@
     if asks {
         log::info!(peer = peer, error:% = error; "connection of a VM ended");
     }
+    drop(slot);
     engine.with(|state, now| state.peer_left(peer, now));
 }
 
--- a/crates/geraniumgauge/src/rate.rs
+++ b/crates/geraniumgauge/src/rate.rs
@@ -91,6 +91,38 @@
     }
 }
 
+/// Bytes a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+#[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
+#[display("{_0} B/s")]
+#[serde(transparent)]
+pub struct BytesPerSecond(pub f64);
+
+impl BytesPerSecond {
+    /// A link of so many megabits a second.
+    pub fn of_link(megabits: f64) -> Self {
+        Self(megabits * 125_000.0)
+    }
+
+    /// The link's megabits a second.
+    pub fn as_link(self) -> f64 {
+        self.0 / 125_000.0
+    }
+}
+
+impl str::FromStr for BytesPerSecond {
+    type Err = Error;
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let number = text.strip_suffix("B/s").unwrap_or(text).trim_end();
+        let value = number.parse().ok().filter(|rate: &f64| *rate > 0.0);
+        value.map(Self).ok_or_else(|| Error {
+            kind: "rate",
+            text: text.to_owned(),
+            remedy: "give bytes a second above zero, such as 1750000",
+        })
+    }
+}
+
 /// Events a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
 #[derive(serde::Serialize, serde::Deserialize, derive_more::Display)]
--- a/crates/geraniumgauge/src/spread/content.rs
+++ b/crates/geraniumgauge/src/spread/content.rs
@@ -6,8 +6,10 @@
 
 use crate::follow;
 use crate::ids;
+use crate::rate;
 use crate::registry;
 use crate::spread;
+use crate::time as clock;
 
 /// Largest part of a datagram that changes may take; the rest is the update's.
 const CHANGES: usize = 1000;
@@ -37,23 +39,39 @@
         self.0.content.borrow().registrations.at()
     }
 
-    /// What this VM answers to another one.
-    pub fn answer(&self, fetch: &spread::Fetch) -> spread::Answer {
+    /// What this VM answers to another one, and the part of its link that the
+    /// answer takes; where there is none left, only what is small.
+    pub fn answer(&self, fetch: &spread::Fetch) -> (spread::Answer, Option<spread::Slot>) {
         let mut answer = self.handle(|state, now| state.asked(fetch, now));
         if fetch.brief {
-            return answer;
+            return (answer, None);
         }
         let content = self.0.content.borrow();
-        if let Some((revision, text)) = &content.config
-            && Some(*revision) > fetch.holds.config
-        {
-            answer.config = Some(text.clone());
-        }
+        let config = content.config.as_ref();
+        let config = config.filter(|(revision, _)| Some(*revision) > fetch.holds.config);
         let held = &content.registrations;
-        if held.at().is_some() && (held.digest() != fetch.holds.digest || fetch.whole) {
-            answer.registrations = Some(self.told(held, fetch));
+        let differs = held.digest() != fetch.holds.digest || fetch.whole;
+        let registrations = differs && held.at().is_some();
+        let registrations = registrations.then(|| self.told(held, fetch));
+        let size = config.map_or(0, |(_, text)| text.len())
+            + registrations.as_ref().map_or(0, spread::wire::size_of);
+        let asker = &fetch.member;
+        match self.slot(asker, rate::Bytes(size as u64)) {
+            Ok(slot) => {
+                answer.config = config.map(|(_, text)| text.clone());
+                answer.registrations = registrations;
+                (answer, Some(slot))
+            }
+            Err(elsewhere) => {
+                log::info!(
+                    asker:% = asker.vm, bytes = size, named = elsewhere.vms.len(),
+                    after_ms = clock::millis(elsewhere.after);
+                    "link is full of answers; VM sent elsewhere"
+                );
+                answer.elsewhere = Some(elsewhere);
+                (answer, None)
+            }
         }
-        answer
     }
 
     fn told(&self, held: &follow::Held, fetch: &spread::Fetch) -> spread::Registrations {
@@ -132,7 +150,8 @@
     fn hold(&self) {
         let content = self.0.content.borrow();
         let (holds, sure) = (content.holds(), content.sure);
-        self.0.state.borrow_mut().hold(holds, sure);
+        let now = self.clock().now();
+        self.0.state.borrow_mut().hold(holds, sure, now);
     }
 
     /// Takes a configuration; one that isn't newer changes nothing.
--- a/crates/geraniumgauge/src/spread/member.rs
+++ b/crates/geraniumgauge/src/spread/member.rs
@@ -23,6 +23,8 @@
 const REFRESH_EACH: time::Duration = time::Duration::from_millis(200);
 /// Refreshes after which a VM that sent none no longer counts.
 const EXPIRE: u32 = 3;
+/// Power of a VM that nobody has told of.
+const LEAST_POWER: f64 = 0.001;
 /// The duty by which VMs are ranked.
 const DUTY: &str = "lookout";
 
@@ -106,13 +108,8 @@
         let before = self.known.remove(&vm);
         if let Some(before) = &before {
             self.digest ^= before.member.fingerprint();
-        } else {
-            let weight =
-                |vm: &ids::Vm| std::cmp::Reverse((rendezvous::weight(DUTY, vm), vm.clone()));
-            let own = weight(&vm);
-            let place = self.order.partition_point(|other| weight(other) < own);
-            self.order.insert(place, vm.clone());
         }
+        let moves = before.as_ref().map(|before| before.member.power) != Some(member.power);
         let same_start = before.filter(|before| before.member.incarnation == member.incarnation);
         let known = Known {
             heard: now,
@@ -121,7 +118,21 @@
             looked: same_start.and_then(|before| before.looked),
             member,
         };
-        self.known.insert(vm, known);
+        self.known.insert(vm.clone(), known);
+        if moves {
+            self.rank(vm);
+        }
+    }
+
+    /// Ranks a VM for duty: powerful ones first, whose links carry what they read
+    /// to many others at a time.
+    fn rank(&mut self, vm: ids::Vm) {
+        self.order.retain(|other| *other != vm);
+        let power = |vm: &ids::Vm| self.known[vm].member.power.max(0.0).to_bits();
+        let weight = |vm: &ids::Vm| (power(vm), rendezvous::weight(DUTY, vm), vm.clone());
+        let own = weight(&vm);
+        let place = self.order.partition_point(|other| weight(other) > own);
+        self.order.insert(place, vm);
     }
 
     /// Takes a record that was refreshed `age` ago; whether it tells of a VM or
@@ -193,6 +204,22 @@
         self.known.get(vm).map(|known| known.member.address)
     }
 
+    /// The power of the VM at `address`; little where it isn't known.
+    pub fn power(&self, address: &net::SocketAddr) -> f64 {
+        let member = self.at(address);
+        member.map_or(LEAST_POWER, |member| member.power.max(LEAST_POWER))
+    }
+
+    /// Where the VM at `address` is.
+    pub fn data_centre(&self, address: &net::SocketAddr) -> Option<&ids::DataCentre> {
+        self.at(address).map(|member| &member.data_centre)
+    }
+
+    fn at(&self, address: &net::SocketAddr) -> Option<&Member> {
+        let mut known = self.known.values().map(|known| &known.member);
+        known.find(|member| member.address == *address)
+    }
+
     /// How many VMs are known, this one included.
     pub fn count(&self) -> usize {
         self.known.len()
--- a/crates/geraniumgauge/src/spread/mod.rs
+++ b/crates/geraniumgauge/src/spread/mod.rs
@@ -10,6 +10,7 @@
 mod content;
 mod count;
 mod member;
+mod sending;
 mod service;
 mod state;
 mod store;
@@ -18,8 +19,10 @@
 
 pub use member::Member;
 pub use member::Members;
+pub use sending::Elsewhere;
 pub use service::Hear;
 pub use service::Service;
+pub use service::Slot;
 pub use state::Action;
 pub use state::Directory;
 pub use state::State;
--- a/crates/geraniumgauge/src/spread/service.rs
+++ b/crates/geraniumgauge/src/spread/service.rs
@@ -11,6 +11,7 @@
 
 use crate::follow;
 use crate::ids;
+use crate::rate;
 use crate::registry;
 use crate::spread;
 use crate::spread::content;
@@ -51,6 +52,17 @@
     ) -> io::Result<spread::Answer>;
 }
 
+/// The part of the link that an answer takes, until this is dropped.
+#[derive(derive_more::Debug)]
+#[debug("Slot")]
+pub struct Slot(Box<dyn Fn()>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        (self.0)();
+    }
+}
+
 /// The spread of news at one VM; clones share it.
 #[derive(derive_more::Debug)]
 #[debug("Service")]
@@ -247,6 +259,26 @@
         self.handle(|state, now| state.heard(from, datagram, now));
     }
 
+    /// Takes a part of the link for an answer to `asker`.
+    ///
+    /// # Errors
+    /// Where it should ask instead.
+    pub(super) fn slot(
+        &self,
+        asker: &spread::Member,
+        size: rate::Bytes,
+    ) -> Result<Slot, spread::Elsewhere> {
+        let now = self.clock().now();
+        self.0.state.borrow_mut().admit(asker, size, now)?;
+        let (service, asker) = (self.clone(), asker.address);
+        let end = move || {
+            let now = service.clock().now();
+            service.0.state.borrow_mut().told(asker, now);
+            service.0.wake.notify_one();
+        };
+        Ok(Slot(Box::new(end)))
+    }
+
     /// Tells all other VMs of a request that crashes upstreams.
     pub async fn blame(&self, request: ids::Fingerprint) {
         let datagram = spread::Datagram::Blamed(request);
--- a/crates/geraniumgauge/src/spread/state/ask.rs
+++ b/crates/geraniumgauge/src/spread/state/ask.rs
@@ -5,8 +5,10 @@
 use std::time;
 
 use rand::Rng as _;
+use rand::seq::IndexedRandom as _;
 use rand::seq::IteratorRandom as _;
 
+use crate::rate;
 use crate::spread;
 use crate::spread::state;
 use crate::time as clock;
@@ -19,6 +21,11 @@
 const STARTING: time::Duration = time::Duration::from_millis(100);
 /// VMs that are asked at a time.
 const FETCHES: usize = 2;
+/// Part of the look period in which one VM may answer before another is asked for
+/// the same.
+const PATIENCE: f64 = 0.25;
+/// Pause before a VM is asked that another one has named, drawn around this.
+const ELSEWHERE: time::Duration = time::Duration::from_millis(20);
 /// Parts of the look period in which records are compared after an update showed
 /// that they differ, so that not all ask the update's sender at once.
 const COMPARE: std::ops::Range<f64> = 0.05..0.5;
@@ -34,8 +41,8 @@
     }
 
     pub(super) fn ask_if_due(&mut self, now: clock::Moment) {
-        if let Some(from) = self.wanted.take() {
-            return self.want(from);
+        if let Some(wanted) = self.wanted.take_if(|wanted| now >= wanted.at) {
+            return self.want(wanted.from, now);
         }
         if !self.busy.fetches.is_empty() || now < self.ask_at {
             return;
@@ -52,10 +59,10 @@
         let late = now.since(self.started) >= self.period.mul_f64(AGAIN);
         let far = self.any(false).filter(|_| late);
         if let Some(from) = self.any(true).or(far) {
-            return self.fetch(from, false, false);
+            return self.fetch(from, false, false, now);
         }
         if let Some(from) = self.any_seed() {
-            self.fetch(from, true, false);
+            self.fetch(from, true, false, now);
         }
     }
 
@@ -69,8 +76,13 @@
         seeds.chain(members).choose(&mut self.rng)
     }
 
-    fn fetch(&mut self, from: net::SocketAddr, brief: bool, whole: bool) {
-        self.busy.fetches.insert(from, whole);
+    fn fetch(&mut self, from: net::SocketAddr, brief: bool, whole: bool, now: clock::Moment) {
+        let asked = state::Asked {
+            brief,
+            whole,
+            at: now,
+        };
+        self.busy.fetches.insert(from, asked);
         let fetch = spread::Fetch {
             member: self.members.own().clone(),
             holds: self.holds,
@@ -82,17 +94,50 @@
         self.actions.push(state::Action::Fetch { from, fetch });
     }
 
-    /// Asks the sender of an update for what this VM lacks, also while it waits for
-    /// the answer of another one, which may be without power.
-    pub(super) fn want(&mut self, from: net::SocketAddr) {
+    /// Asks the sender of an update for what this VM lacks. Where another one is
+    /// asked already, it has some time first: two answers would share this VM's
+    /// link. A VM that knows nothing doesn't wait, the other may be without power.
+    pub(super) fn want(&mut self, from: net::SocketAddr, now: clock::Moment) {
         let fetches = &self.busy.fetches;
-        if fetches.len() >= FETCHES || fetches.contains_key(&from) {
-            self.wanted = Some(from);
+        let latest = fetches.values().filter(|asked| !asked.brief);
+        let latest = latest.map(|asked| asked.at).max();
+        let turn = latest.map(|at| at + self.period.mul_f64(PATIENCE));
+        let wait = turn.filter(|at| now < *at && !self.knows_nothing());
+        let busy = fetches.len() >= FETCHES || fetches.contains_key(&from);
+        if let Some(at) = wait.or(busy.then_some(now)) {
+            self.wanted = Some(state::Wanted { from, at });
         } else {
-            self.fetch(from, false, false);
+            self.fetch(from, false, false, now);
+            if self.is_behind() {
+                self.await_turn(now);
+            }
         }
     }
 
+    /// The VM at `from` has what this one lacks, and a full link: asks one of those
+    /// that it has told, or itself when it has room.
+    fn turn_to(
+        &mut self,
+        from: net::SocketAddr,
+        elsewhere: &spread::Elsewhere,
+        now: clock::Moment,
+    ) {
+        let own = self.members.own().address;
+        let others = elsewhere.vms.iter().copied().filter(|vm| *vm != own);
+        let choices: Vec<_> = others.chain([from]).collect();
+        let weigh = |vm: &net::SocketAddr| self.members.power(vm);
+        let choice = choices.choose_weighted(&mut self.rng, weigh);
+        let choice = choice.copied().unwrap_or(from);
+        let wait = if choice == from {
+            elsewhere.after.min(self.period)
+        } else {
+            ELSEWHERE
+        };
+        let at = now + wait.mul_f64(self.rng.random_range(0.5..1.5));
+        self.wanted = Some(state::Wanted { from: choice, at });
+        self.await_turn(at);
+    }
+
     /// An update showed that its sender knows other VMs.
     pub(super) fn differs(&mut self, from: net::SocketAddr, now: clock::Moment) {
         if self.compare.is_none() {
@@ -106,7 +151,7 @@
         }
         if let Some((_, from)) = self.compare.filter(|(at, _)| now >= *at) {
             self.compare = None;
-            self.fetch(from, true, false);
+            self.fetch(from, true, false, now);
         }
     }
 
@@ -119,7 +164,8 @@
         took: time::Duration,
         now: clock::Moment,
     ) {
-        let whole = self.busy.fetches.remove(&from).unwrap_or_default();
+        let asked = self.busy.fetches.remove(&from);
+        let whole = asked.is_some_and(|asked| asked.whole);
         self.asked = true;
         match answer {
             Some(answer) => self.take_answer(from, answer, whole, took, now),
@@ -149,11 +195,14 @@
         if summary.members != self.members.digest() && !answer.records.is_empty() {
             self.tell_records(from, answer, now);
         }
-        if self.note_lack(summary) {
+        if self.note_lack(summary, now) {
+            if let Some(elsewhere) = &answer.elsewhere {
+                return self.turn_to(from, elsewhere, now);
+            }
             // Changes may not have led there; what a brief answer lacks is asked
             // for near.
             if answer.registrations.is_some() && !whole {
-                self.fetch(from, false, true);
+                self.fetch(from, false, true, now);
             }
             return;
         }
@@ -207,6 +256,50 @@
             records: records.map(|(member, age)| (member.clone(), age)).collect(),
             config: None,
             registrations: None,
+            elsewhere: None,
+        }
+    }
+
+    /// Whether an answer of `size` may be sent now to `asker`; [`Self::told`] ends
+    /// it. VMs that tell more others than most have a head start: larger ones, and
+    /// those that ask for another data centre.
+    ///
+    /// # Errors
+    /// Where it should ask instead.
+    pub fn admit(
+        &mut self,
+        asker: &spread::Member,
+        size: rate::Bytes,
+        now: clock::Moment,
+    ) -> Result<(), spread::Elsewhere> {
+        let waits = self.is_near(asker) && self.is_least(asker);
+        let begun = self.sending.begin(asker.address, size, waits, now);
+        begun.map_err(|mut elsewhere| {
+            // Once over the dear links is enough.
+            let place = &asker.data_centre;
+            let near = |vm: &net::SocketAddr| self.members.data_centre(vm) == Some(place);
+            elsewhere.vms.retain(near);
+            elsewhere
+        })
+    }
+
+    /// Whether no VM of this data centre is less powerful, and others tell more VMs.
+    pub(super) fn is_least(&self, asker: &spread::Member) -> bool {
+        let mut others = self.members.others();
+        let more = others.any(|vm| !self.is_near(vm) || vm.power > asker.power);
+        let mut near = self.members.others().filter(|vm| self.is_near(vm));
+        more && near.all(|vm| vm.power >= asker.power)
+    }
+
+    /// The answer to the VM at `asker` is sent, or given up.
+    pub fn told(&mut self, asker: net::SocketAddr, now: clock::Moment) {
+        let Some(waiting) = self.sending.end(asker) else {
+            return;
+        };
+        if waiting.is_empty() {
+            self.offer(1, now);
+        } else {
+            self.offer_to(waiting, now);
         }
     }
 }
--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -18,6 +18,10 @@
 /// The same while a fleet starts for the first time: those that look for all
 /// begin within it.
 const ALONE_AT_FIRST: std::ops::Range<f64> = 1.4..2.6;
+/// Parts of the look period after which a VM looks for itself whose turn to be
+/// answered doesn't come: what is left until a change must be in force is for the
+/// look.
+const IN_TURN: f64 = 1.95;
 /// How long a look may take before the store is said to be away. The others must
 /// hear of it before they look for themselves.
 const DOUBT: time::Duration = time::Duration::from_millis(300);
@@ -225,11 +229,22 @@
     }
 
     /// Whether this VM knows that others hold something newer.
-    fn is_behind(&self) -> bool {
+    pub(super) fn is_behind(&self) -> bool {
         let told = self.heard_of.as_ref();
         told.is_some_and(|(holds, sure)| self.lacks(holds, *sure))
     }
 
+    /// This VM learns that others hold something newer: whatever had put its own
+    /// look off, it is due as if nothing had been heard since the latest one.
+    pub(super) fn fall_behind(&mut self, now: clock::Moment) {
+        let latest = self.latest.as_ref();
+        let since = latest.map_or(self.started, |latest| latest.at);
+        let before = self.look_at;
+        self.draw_look(since, now);
+        self.look_at = self.look_at.min(before);
+        self.await_answer(now);
+    }
+
     /// Draws how long this VM relies on others, from `since`.
     fn draw_reliance(&mut self, since: clock::Moment) {
         self.rely_until = since + self.part(RELIANCE);
@@ -262,9 +277,20 @@
     /// Another VM has looked, and is asked what it saw: this one waits for the
     /// answer, but not for long.
     pub(super) fn await_answer(&mut self, now: clock::Moment) {
+        self.wait_for_answer(ALONE.end, now);
+    }
+
+    /// The same where the answer has to wait for others'.
+    pub(super) fn await_turn(&mut self, now: clock::Moment) {
+        self.wait_for_answer(IN_TURN, now);
+    }
+
+    /// Puts the look off for an answer, but no later than so many look periods
+    /// after the latest one.
+    fn wait_for_answer(&mut self, periods: f64, now: clock::Moment) {
         let latest = self.latest.as_ref();
         let since = latest.map_or(self.started, |latest| latest.at);
-        let last = since + self.period.mul_f64(ALONE.end);
+        let last = since + self.period.mul_f64(periods);
         let answered = now + self.period.mul_f64(ANSWER);
         self.look_at = self.look_at.max(answered.min(last));
     }
--- a/crates/geraniumgauge/src/spread/state/mod.rs
+++ b/crates/geraniumgauge/src/spread/state/mod.rs
@@ -24,7 +24,9 @@
 use rand::seq::IteratorRandom as _;
 
 use crate::ids;
+use crate::rate;
 use crate::spread;
+use crate::spread::sending;
 use crate::store;
 use crate::time as clock;
 
@@ -33,6 +35,9 @@
 /// How long it waits for another VM's answer, where it has the directory: one
 /// that is up mostly answers sooner, and one without power never.
 const PEERS: time::Duration = time::Duration::from_millis(15);
+/// VMs that are told of a configuration by one that has got it, where its link
+/// is among the least, and where it isn't.
+const OFFERS: (usize, usize) = (2, 8);
 /// Look periods in which VMs that start for the first time find each other.
 const SETTLE: u32 = 2;
 
@@ -94,12 +99,29 @@
 struct Busy {
     /// Since when this VM looks.
     look: Option<clock::Moment>,
-    /// The VMs that are asked, and whether for all registrations.
-    fetches: collections::BTreeMap<net::SocketAddr, bool>,
+    /// The VMs that are asked.
+    fetches: collections::BTreeMap<net::SocketAddr, Asked>,
     reading: bool,
     writing: bool,
 }
 
+/// A question to another VM.
+#[derive(Debug)]
+struct Asked {
+    /// Whether for the VMs alone.
+    brief: bool,
+    /// Whether for all registrations.
+    whole: bool,
+    at: clock::Moment,
+}
+
+/// A question that is due.
+#[derive(Debug)]
+struct Wanted {
+    from: net::SocketAddr,
+    at: clock::Moment,
+}
+
 /// The latest look that what this VM holds includes.
 #[derive(Debug, Clone)]
 struct Latest {
@@ -172,10 +194,12 @@
     /// When another VM is asked next, where nothing is heard until then.
     ask_at: clock::Moment,
     /// Whom to ask for what an update told of.
-    wanted: Option<net::SocketAddr>,
+    wanted: Option<Wanted>,
     /// When VMs' records are compared with another VM, and which.
     compare: Option<(clock::Moment, net::SocketAddr)>,
     owed: Option<Owed>,
+    /// What is being told to those that ask.
+    sending: sending::Sending,
     /// An update that another VM mostly passes on first.
     second: Option<Owed>,
     /// When this VM tells what changed of the fleet.
@@ -199,12 +223,13 @@
 }
 
 impl State {
-    /// A VM that knows nothing yet. `seeds` may be other VMs; random choices
-    /// follow from `seed`.
+    /// A VM that knows nothing yet, with a link of so many bytes a second. `seeds`
+    /// may be other VMs; random choices follow from `seed`.
     pub fn new(
         own: spread::Member,
         period: time::Duration,
         seeds: Vec<net::SocketAddr>,
+        link: rate::BytesPerSecond,
         seed: u64,
         now: clock::Moment,
     ) -> Self {
@@ -238,6 +263,7 @@
             wanted: None,
             compare: None,
             owed: None,
+            sending: sending::Sending::new(link, now),
             second: None,
             tell_at: None,
             told_at: None,
@@ -272,10 +298,12 @@
         let idle = self.busy.fetches.is_empty();
         let fetch = Some(self.ask_at).filter(|_| idle);
         let compare = self.compare.filter(|_| idle);
+        let wanted = self.wanted.as_ref().map(|wanted| wanted.at);
         let due = [
             self.look_due(now),
             self.doubt_due(now),
             fetch,
+            wanted.filter(|at| idle || *at > now),
             second,
             compare.map(|(at, _)| at),
             self.tell_at,
@@ -289,9 +317,20 @@
 
     /// What this VM holds of the store has changed. `sure`, where its
     /// registrations are just those that a look showed.
-    pub fn hold(&mut self, holds: spread::Holds, sure: bool) {
+    pub fn hold(&mut self, holds: spread::Holds, sure: bool, now: clock::Moment) {
+        let news = holds.config != self.holds.config;
         self.holds = holds;
         self.sure = sure;
+        if news {
+            self.sending.renew(now);
+            let own = self.members.own();
+            let count = if self.is_least(own) {
+                OFFERS.0
+            } else {
+                OFFERS.1
+            };
+            self.offer(count, now);
+        }
     }
 
     /// How far this VM knows the store.
@@ -330,9 +369,12 @@
     }
 
     /// Whether another VM's news show what this VM lacks, which it remembers then.
-    fn note_lack(&mut self, summary: &spread::Summary) -> bool {
+    fn note_lack(&mut self, summary: &spread::Summary, now: clock::Moment) -> bool {
         let lacks = self.lacks(&summary.holds, summary.sure);
         if lacks {
+            if !self.is_behind() {
+                self.fall_behind(now);
+            }
             self.heard_of = Some((summary.holds, summary.sure));
         }
         lacks
--- a/crates/geraniumgauge/src/spread/state/tell.rs
+++ b/crates/geraniumgauge/src/spread/state/tell.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::net;
 
+use rand::seq::IteratorRandom as _;
 use rand::seq::SliceRandom as _;
 
 use crate::ids;
@@ -49,7 +50,7 @@
         if summary.members != self.members.digest() {
             self.differs(from, now);
         }
-        let lacks = self.note_lack(summary);
+        let lacks = self.note_lack(summary, now);
         if update.away {
             self.hear_away(&update.vm, now);
         }
@@ -58,7 +59,7 @@
         }
         let first = update.pass == spread::Pass::First;
         if lacks {
-            self.want(from);
+            self.want(from, now);
             if summary.look.is_some() {
                 self.await_answer(now);
             }
@@ -134,6 +135,22 @@
         self.send(to, update, spread::Pass::None);
     }
 
+    /// Tells some VMs nearby that this one has a configuration that they may wait
+    /// for, and room on its link.
+    pub(super) fn offer(&mut self, count: usize, now: clock::Moment) {
+        let own = self.members.own().data_centre.clone();
+        let others = self.members.others();
+        let near = others.filter(|vm| vm.data_centre == own);
+        let to = near.map(|vm| vm.address);
+        let to = to.choose_multiple(&mut self.rng, count);
+        self.offer_to(to, now);
+    }
+
+    pub(super) fn offer_to(&mut self, to: Vec<net::SocketAddr>, now: clock::Moment) {
+        let update = self.update(None, now);
+        self.send(to, update, spread::Pass::None);
+    }
+
     /// Tells the fleet what this VM knows.
     pub(super) fn tell(&mut self, changes: Option<spread::Changes>, now: clock::Moment) {
         self.told_at = Some(now);
@@ -147,18 +164,22 @@
         if known.len() <= SMALL {
             return self.send(known.into_iter().collect(), update, spread::Pass::None);
         }
-        let mut places: collections::BTreeMap<ids::DataCentre, Vec<net::SocketAddr>> =
+        let mut places: collections::BTreeMap<ids::DataCentre, Vec<(net::SocketAddr, f64)>> =
             collections::BTreeMap::new();
         for member in self.members.others() {
             let place = places.entry(member.data_centre.clone()).or_default();
-            place.push(member.address);
+            place.push((member.address, member.power));
         }
         let near = places.remove(&self.members.own().data_centre);
-        self.send(near.unwrap_or_default(), update.clone(), spread::Pass::None);
+        let near = near.unwrap_or_default().into_iter();
+        let near = near.map(|(address, _)| address).collect();
+        self.send(near, update.clone(), spread::Pass::None);
         let (mut first, mut second) = (Vec::new(), Vec::new());
         for (_, mut vms) in places {
-            let (chosen, _) = vms.partial_shuffle(&mut self.rng, 2);
-            let mut chosen = chosen.iter().copied();
+            // Those whose links carry what they are told to many others at a time.
+            vms.shuffle(&mut self.rng);
+            vms.sort_by(|(_, one), (_, other)| other.total_cmp(one));
+            let mut chosen = vms.into_iter().map(|(address, _)| address);
             first.extend(chosen.next());
             second.extend(chosen.next());
         }
--- a/crates/geraniumgauge/src/spread/tests/links.rs
+++ b/crates/geraniumgauge/src/spread/tests/links.rs
@@ -9,6 +9,20 @@
 /// Bytes that may be missing for rounding when an answer counts as sent.
 const ROUNDING: f64 = 1.0;
 
+/// Large VMs, the first ones.
+const LARGE: usize = 15;
+/// Bytes a second that a large VM sends, and another one.
+const RATES: (f64, f64) = (17.5e6, 1.75e6);
+
+pub(crate) fn is_large(vm: usize) -> bool {
+    vm < LARGE
+}
+
+/// What a VM's link carries, in bytes a second.
+pub(crate) fn rate(vm: usize) -> f64 {
+    if is_large(vm) { RATES.0 } else { RATES.1 }
+}
+
 /// An answer under way.
 #[derive(Debug)]
 pub(crate) struct Transfer {
--- a/crates/geraniumgauge/src/spread/tests/mod.rs
+++ b/crates/geraniumgauge/src/spread/tests/mod.rs
@@ -1,6 +1,7 @@
 mod large;
 pub(crate) mod links;
 mod member;
+mod sending;
 mod service;
 mod start;
 mod state;
--- /dev/null
+++ b/crates/geraniumgauge/src/spread/tests/sending.rs
@@ -0,0 +1,66 @@
+//! Answers that share a link.
+
+use std::net;
+use std::time;
+
+use crate::rate;
+use crate::spread;
+use crate::spread::sending;
+use crate::time as clock;
+
+const LINK: rate::BytesPerSecond = rate::BytesPerSecond(1e6);
+const LARGE: rate::Bytes = rate::Bytes(300_000);
+
+fn vm(number: u8) -> net::SocketAddr {
+    (net::Ipv4Addr::new(10, 0, 0, number), 7000).into()
+}
+
+fn at(millis: u64) -> clock::Moment {
+    clock::Moment::from_millis(millis)
+}
+
+#[test]
+fn answers_beyond_what_the_link_carries_soon_are_sent_elsewhere() {
+    let mut sending = sending::Sending::new(LINK, at(0));
+    let now = at(1000);
+    assert_eq!(sending.begin(vm(1), LARGE, false, now), Ok(()));
+    let full = sending.begin(vm(2), LARGE, false, now);
+    let after = time::Duration::from_millis(300);
+    let vms = Vec::new();
+    assert_eq!(full, Err(spread::Elsewhere { vms, after }));
+    // Little changes are told all the same.
+    assert_eq!(sending.begin(vm(3), rate::Bytes(900), false, now), Ok(()));
+    // Those who wait are told of the room, and later ones of who has been told.
+    assert_eq!(sending.end(vm(1)), Some(vec![vm(2)]));
+    assert_eq!(sending.begin(vm(2), LARGE, false, now), Ok(()));
+    let full = sending.begin(vm(4), LARGE, false, now);
+    assert_eq!(full.map_err(|elsewhere| elsewhere.vms), Err(vec![vm(1)]));
+}
+
+#[test]
+fn an_answer_larger_than_all_that_the_link_carries_soon_is_sent_alone() {
+    let mut sending = sending::Sending::new(LINK, at(0));
+    let huge = rate::Bytes(4 << 20);
+    assert_eq!(sending.begin(vm(1), huge, false, at(1000)), Ok(()));
+    assert!(sending.begin(vm(2), LARGE, false, at(1000)).is_err());
+}
+
+/// Guards against a VM that asked and lost power, and takes the link for ever.
+#[test]
+fn an_answer_that_nobody_takes_gives_its_part_of_the_link_back() {
+    let mut sending = sending::Sending::new(LINK, at(0));
+    assert_eq!(sending.begin(vm(1), LARGE, false, at(1000)), Ok(()));
+    assert_eq!(sending.begin(vm(2), LARGE, false, at(7000)), Ok(()));
+}
+
+/// Guards against small VMs that fill the link before those are told that tell
+/// many others.
+#[test]
+fn those_who_tell_more_vms_have_a_head_start() {
+    let mut sending = sending::Sending::new(LINK, at(0));
+    sending.renew(at(1000));
+    assert!(sending.begin(vm(1), LARGE, true, at(1001)).is_err());
+    assert_eq!(sending.begin(vm(2), LARGE, false, at(1001)), Ok(()));
+    sending.end(vm(2));
+    assert_eq!(sending.begin(vm(1), LARGE, true, at(1100)), Ok(()));
+}
--- a/crates/geraniumgauge/src/spread/tests/service.rs
+++ b/crates/geraniumgauge/src/spread/tests/service.rs
@@ -8,6 +8,7 @@
 
 use crate::follow;
 use crate::ids;
+use crate::rate;
 use crate::registry;
 use crate::spread;
 use crate::time as clock;
@@ -88,6 +89,8 @@
     }
 }
 
+const LINK: rate::BytesPerSecond = rate::BytesPerSecond(1e9);
+
 /// Nobody listens, and no other VM is there.
 struct Ear;
 
@@ -128,7 +131,7 @@
             data_centre: "dc".parse().expect("a name"),
             power: 1.0,
         };
-        let state = spread::State::new(own, PERIOD, Vec::new(), 1, clock.now());
+        let state = spread::State::new(own, PERIOD, Vec::new(), LINK, 1, clock.now());
         let store = spread::Store {
             config: Config,
             registrations: registrations.clone(),
--- a/crates/geraniumgauge/src/spread/tests/wire.rs
+++ b/crates/geraniumgauge/src/spread/tests/wire.rs
@@ -124,6 +124,10 @@
             records: vec![record()],
             config: Some("{}".to_owned()),
             registrations,
+            elsewhere: Some(spread::Elsewhere {
+                vms: vec!["10.0.0.4:7000".parse().expect("an address")],
+                after: time::Duration::from_millis(300),
+            }),
         };
         let read = spread::Answer::from(wire::Answer::from(answer.clone()));
         assert_eq!(read, answer);
--- a/crates/geraniumgauge/src/spread/tests/world.rs
+++ b/crates/geraniumgauge/src/spread/tests/world.rs
@@ -10,6 +10,7 @@
 use crate::events;
 use crate::follow;
 use crate::ids;
+use crate::rate;
 use crate::spread;
 use crate::spread::tests::links;
 use crate::time as clock;
@@ -25,24 +26,21 @@
 /// Longest wait for another VM's answer.
 const ANSWER: time::Duration = time::Duration::from_secs(1);
 const PLACES: usize = 5;
-/// Large VMs, the first ones.
-const LARGE: usize = 3 * PLACES;
-/// Bytes a second that a large VM sends, and another one.
-const LINKS: (f64, f64) = (17.5e6, 1.75e6);
 
 /// Something that happens.
 enum Event {
     Wake,
     Datagram(usize, spread::Datagram),
     /// A question arrives from a VM.
-    Asked(usize, u64, spread::Fetch),
+    Asked(u64, spread::Fetch),
     /// The answer to a question arrives.
     Answered(u64, spread::Answer),
     /// No answer to a question has come in time.
     Overdue(u64),
     /// An answer may be sent by now.
     Sent(u64),
-    Looked(Option<spread::Holds>),
+    /// A look ends that began at a moment.
+    Looked(Option<spread::Holds>, clock::Moment),
     Listed(Option<Vec<spread::Directory>>),
     Written(bool),
 }
@@ -66,7 +64,7 @@
     pub(crate) side: u8,
     start: u64,
     wake: Option<clock::Moment>,
-    link: links::Link,
+    pub(crate) link: links::Link,
     /// Questions that it waits for, whom they were put to, and when.
     questions: collections::BTreeMap<u64, (usize, clock::Moment)>,
     /// Its looks, the ones that failed included.
@@ -148,7 +146,7 @@
                 side: 0,
                 start: 0,
                 wake: None,
-                link: links::Link::new(if vm < LARGE { LINKS.0 } else { LINKS.1 }),
+                link: links::Link::new(links::rate(vm)),
                 questions: collections::BTreeMap::new(),
                 looks: 0,
                 view: None,
@@ -164,10 +162,11 @@
             beat: 0,
             address: address(vm),
             data_centre: format!("dc-{}", vm % PLACES).parse().expect("a name"),
-            power: if vm < LARGE { 0.5 } else { 0.125 },
+            power: if links::is_large(vm) { 0.5 } else { 0.125 },
         };
         let seed = self.rng.random();
-        spread::State::new(own, PERIOD, self.seeds.clone(), seed, self.now)
+        let link = rate::BytesPerSecond(links::rate(vm));
+        spread::State::new(own, PERIOD, self.seeds.clone(), link, seed, self.now)
     }
 
     /// Gives power to a VM; it starts anew.
@@ -180,7 +179,7 @@
         known.on = true;
         known.wake = None;
         known.view = None;
-        known.link = links::Link::new(if vm < LARGE { LINKS.0 } else { LINKS.1 });
+        known.link = links::Link::new(links::rate(vm));
         known.questions.clear();
         self.wake(vm, self.now);
     }
@@ -291,11 +290,11 @@
             Event::Wake => {}
             Event::Datagram(from, datagram) => {
                 if let spread::Datagram::Update(update) = &datagram {
-                    agree(state, &update.summary.holds, update.summary.sure);
+                    agree(state, &update.summary.holds, update.summary.sure, now);
                 }
                 state.heard(address(from), datagram, now);
             }
-            Event::Asked(from, question, fetch) => {
+            Event::Asked(question, fetch) => {
                 let mut answer = state.asked(&fetch, now);
                 let holds = answer.summary.holds;
                 if !fetch.brief && holds.digest != fetch.holds.digest {
@@ -305,11 +304,11 @@
                 if !fetch.brief && holds.config > fetch.holds.config {
                     answer.config = Some(String::new());
                 }
-                self.send(vm, from, question, answer);
+                self.answer(vm, &fetch.member, question, answer);
             }
             Event::Answered(question, answer) => {
                 if let Some((from, began)) = self.vms[vm].questions.remove(&question) {
-                    take(&mut self.vms[vm].state, &answer);
+                    take(&mut self.vms[vm].state, &answer, now);
                     let took = now.since(began);
                     let state = &mut self.vms[vm].state;
                     state.answered(address(from), Some(&answer), took, now);
@@ -319,34 +318,60 @@
                 if let Some((from, began)) = self.vms[vm].questions.remove(&question) {
                     let state = &mut self.vms[vm].state;
                     state.answered(address(from), None, now.since(began), now);
-                    self.hang_up(from, question);
+                    self.hang_up(vm, from, question);
                 }
             }
             Event::Sent(turn) => {
                 for transfer in self.vms[vm].link.sent(turn, now) {
+                    self.vms[vm].state.told(address(transfer.to), now);
                     self.deliver(vm, transfer.to, transfer.question, transfer.answer);
                 }
                 self.send_next(vm);
             }
-            Event::Looked(holds) => {
+            Event::Looked(holds, began) => {
                 if let Some(holds) = holds {
                     let newer = holds.revision >= state.holds().revision;
                     if newer {
-                        state.hold(holds, true);
+                        state.hold(holds, true, now);
                     }
                 }
-                state.looked(holds.map(|_| READ), now);
+                state.looked(holds.map(|_| now.since(began)), now);
             }
             Event::Listed(pages) => state.listed(pages, now),
             Event::Written(done) => state.written(done, now),
         }
-        for action in self.vms[vm].state.tick(now) {
+        self.act(vm);
+    }
+
+    /// A VM does what is due.
+    fn act(&mut self, vm: usize) {
+        for action in self.vms[vm].state.tick(self.now) {
             self.carry_out(vm, action);
         }
-        let wake = self.vms[vm].state.wake_at(now);
+        let wake = self.vms[vm].state.wake_at(self.now);
         self.wake(vm, wake);
     }
 
+    /// Sends an answer, if the VM has room for it on its link.
+    fn answer(
+        &mut self,
+        vm: usize,
+        to: &spread::Member,
+        question: u64,
+        mut answer: spread::Answer,
+    ) {
+        let size = rate::Bytes(self.size as u64);
+        let state = &mut self.vms[vm].state;
+        if answer.config.is_some()
+            && let Err(elsewhere) = state.admit(to, size, self.now)
+        {
+            answer.config = None;
+            answer.registrations = None;
+            answer.elsewhere = Some(elsewhere);
+        }
+        self.send(vm, index(to.address), question, answer);
+    }
+
     /// Sends an answer, over the sender's link if it is large.
     fn send(&mut self, vm: usize, to: usize, question: u64, answer: spread::Answer) {
         if answer.config.is_none() || self.size == 0.0 {
@@ -378,8 +403,10 @@
     }
 
     /// The VM that asked ends the connection.
-    fn hang_up(&mut self, vm: usize, question: u64) {
+    fn hang_up(&mut self, to: usize, vm: usize, question: u64) {
         if self.vms[vm].link.abort(question, self.now) {
+            self.vms[vm].state.told(address(to), self.now);
+            self.act(vm);
             self.send_next(vm);
         }
     }
@@ -391,7 +418,7 @@
         self.vms[vm].questions.insert(question, asked);
         let wait = if self.reach(vm, from) {
             let way = self.way(vm, from) * 2;
-            self.push(from, way, Event::Asked(vm, question, fetch));
+            self.push(from, way, Event::Asked(question, fetch));
             ANSWER
         } else {
             time::Duration::from_millis(100)
@@ -419,7 +446,7 @@
                 self.vms[vm].looks += 1;
                 let holds = Some(self.store).filter(|_| served);
                 let read = self.vms[vm].link.takes(self.size);
-                self.push(vm, took + read, Event::Looked(holds));
+                self.push(vm, took + read, Event::Looked(holds, self.now));
             }
             spread::Action::ReadDirectory => {
                 self.reads += 1;
@@ -454,17 +481,17 @@
 }
 
 /// What the program does with an update before the state hears it.
-fn agree(state: &mut spread::State, theirs: &spread::Holds, sure: bool) {
+fn agree(state: &mut spread::State, theirs: &spread::Holds, sure: bool, now: clock::Moment) {
     let mut holds = state.holds();
     if holds.revision.is_some() && holds.digest == theirs.digest {
         holds.revision = holds.revision.max(theirs.revision);
         let sure = sure || state.is_sure();
-        state.hold(holds, sure);
+        state.hold(holds, sure, now);
     }
 }
 
 /// What the program does with an answer before the state hears it.
-fn take(state: &mut spread::State, answer: &spread::Answer) {
+fn take(state: &mut spread::State, answer: &spread::Answer, now: clock::Moment) {
     let (mut holds, mut sure) = (state.holds(), state.is_sure());
     let theirs = answer.summary.holds;
     if answer.config.is_some() {
@@ -474,6 +501,6 @@
         (holds.revision, holds.digest) = (theirs.revision, theirs.digest);
         sure = answer.summary.sure;
     }
-    state.hold(holds, sure);
-    agree(state, &theirs, answer.summary.sure);
+    state.hold(holds, sure, now);
+    agree(state, &theirs, answer.summary.sure, now);
 }
--- a/crates/geraniumgauge/src/spread/update.rs
+++ b/crates/geraniumgauge/src/spread/update.rs
@@ -111,6 +111,8 @@
     pub config: Option<String>,
     /// Registrations, as far as the asker lacks them.
     pub registrations: Option<spread::Registrations>,
+    /// Where to ask for what this answer leaves out, since the link is full.
+    pub elsewhere: Option<spread::Elsewhere>,
 }
 
 impl Changes {
--- a/crates/geraniumgauge/src/spread/wire/fetch.rs
+++ b/crates/geraniumgauge/src/spread/wire/fetch.rs
@@ -1,10 +1,13 @@
 //! Questions for what another VM knows, and their answers, as frames between VMs
 //! carry them.
 
+use std::time;
+
 use crate::spread;
 use crate::spread::wire::member;
 use crate::spread::wire::registration;
 use crate::spread::wire::summary;
+use crate::time as clock;
 
 /// [`spread::Fetch`].
 #[derive(Clone, PartialEq)]
@@ -63,6 +66,37 @@
     config: Option<String>,
     #[prost(message, optional, tag = "4")]
     registrations: Option<registration::News>,
+    #[prost(message, optional, tag = "5")]
+    elsewhere: Option<Elsewhere>,
+}
+
+/// [`spread::Elsewhere`].
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct Elsewhere {
+    #[prost(string, repeated, tag = "1")]
+    vms: Vec<String>,
+    #[prost(uint64, tag = "2")]
+    after_us: u64,
+}
+
+impl From<&spread::Elsewhere> for Elsewhere {
+    fn from(elsewhere: &spread::Elsewhere) -> Self {
+        Self {
+            vms: elsewhere.vms.iter().map(ToString::to_string).collect(),
+            after_us: clock::micros(elsewhere.after),
+        }
+    }
+}
+
+impl From<Elsewhere> for spread::Elsewhere {
+    fn from(elsewhere: Elsewhere) -> Self {
+        let vms = elsewhere.vms.iter().filter_map(|vm| vm.parse().ok());
+        Self {
+            vms: vms.collect(),
+            after: time::Duration::from_micros(elsewhere.after_us),
+        }
+    }
 }
 
 impl From<spread::Answer> for Answer {
@@ -72,6 +106,7 @@
             records: answer.records.iter().map(member::Member::from).collect(),
             config: answer.config,
             registrations: answer.registrations.as_ref().map(Into::into),
+            elsewhere: answer.elsewhere.as_ref().map(Into::into),
         }
     }
 }
@@ -84,6 +119,7 @@
             records: records.filter_map(member::Member::read).collect(),
             config: answer.config,
             registrations: answer.registrations.map(Into::into),
+            elsewhere: answer.elsewhere.map(Into::into),
         }
     }
 }
--- a/crates/geraniumgauge/src/spread/wire/mod.rs
+++ b/crates/geraniumgauge/src/spread/wire/mod.rs
@@ -152,6 +152,11 @@
     }
 }
 
+/// Bytes that registrations take in an answer.
+pub(super) fn size_of(registrations: &spread::Registrations) -> usize {
+    registration::News::from(registrations).encoded_len()
+}
+
 /// Bytes that changes take in an update.
 pub(super) fn size(changes: &[follow::Change<registry::Entry>]) -> usize {
     registration::Changes::from(changes).encoded_len()
