An answer larger than the queue of a connection is sent

A configuration may be 1 MiB alone, and 10,000 registrations are more. At that size no VM could learn anything from another one. One message is sent whatever its size (frames are bounded by 4 MiB); what waits behind it stays bounded. The test failed before: 'room: BrokenPipe'.

--- a/crates/geraniumgauge/src/edge/mod.rs
+++ b/crates/geraniumgauge/src/edge/mod.rs
@@ -27,3 +27,6 @@
 pub use engine::Teller;
 pub use operators::Operators;
 pub use server::Server;
+
+#[cfg(test)]
+mod tests;
--- a/crates/geraniumgauge/src/edge/sender.rs
+++ b/crates/geraniumgauge/src/edge/sender.rs
@@ -7,8 +7,8 @@
 use bytes::Buf as _;
 use tokio::net::tcp;
 
-/// Bytes that wait for a connection at most. A peer that doesn't read would
-/// otherwise fill the memory.
+/// Bytes that wait for a connection at most, beyond one message of any size. A
+/// peer that doesn't read would otherwise fill the memory.
 const MAX_WAITING: usize = 1 << 20;
 
 /// The writing half of a connection; clones share it.
@@ -40,7 +40,8 @@
     /// Where nothing of them was sent, nor will be.
     pub(super) fn send(&self, bytes: &[u8]) -> io::Result<()> {
         let mut waiting = self.waiting.borrow_mut();
-        if waiting.failed || waiting.bytes.len() + bytes.len() > MAX_WAITING {
+        let full = !waiting.bytes.is_empty() && waiting.bytes.len() + bytes.len() > MAX_WAITING;
+        if waiting.failed || full {
             return Err(io::ErrorKind::BrokenPipe.into());
         }
         if waiting.writing {
--- /dev/null
+++ b/crates/geraniumgauge/src/edge/tests/mod.rs
@@ -0,0 +1,1 @@
+mod sender;
