A question waits for its answer as long as some of it comes

With a configuration of 1 MiB and a link of 14 Mbit/s that holds if nothing else is sent; where it doesn't, every answer is thrown away half read. The wait is for silence now, 1 s, and 5 s for a whole answer.

--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -7,9 +7,11 @@
 use futures_util::FutureExt as _;
 use futures_util::StreamExt as _;
 use prost::Message as _;
+use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::tcp;
 use tokio_util::codec;
+use tokio_util::codec::Decoder as _;
 
 use crate::edge;
 use crate::edge::backlog;
@@ -24,8 +26,13 @@
 /// Longest wait for a connection on which a question is asked. A VM without
 /// power doesn't refuse, and others are there to ask.
 const CONNECT: time::Duration = time::Duration::from_millis(100);
-/// Longest wait for the answer to a question.
-const ANSWER: time::Duration = time::Duration::from_millis(1000);
+/// Longest silence before and within the answer to a question. Not the longest
+/// answer: a large one takes a narrow link for a while.
+const SILENCE: time::Duration = time::Duration::from_millis(1000);
+/// Longest wait for a whole answer.
+const ANSWER: time::Duration = time::Duration::from_secs(5);
+/// Room for what is read of an answer at a time.
+const BUFFER: usize = 16 << 10;
 
 /// Keeps a connection to another VM while it is wanted.
 pub(super) async fn keep(engine: edge::Engine, address: net::SocketAddr) {
@@ -122,17 +129,32 @@
         let mut stream = connect.map_err(|_| io::ErrorKind::TimedOut)??;
         let bytes = frame::Frame::bytes(frame::Kind::Fetch(fetch.into()));
         stream.write_all(&bytes).await?;
-        let mut frames = codec::FramedRead::new(stream, frame_codec());
-        loop {
-            let bytes = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+        read_answer(stream).await
+    };
+    let answer = tokio::time::timeout(ANSWER, asked).await;
+    answer.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// Reads the answer to a question, for as long as some of it comes.
+pub(super) async fn read_answer(
+    mut stream: impl tokio::io::AsyncRead + Unpin,
+) -> io::Result<spread::Answer> {
+    let mut codec = frame_codec();
+    let mut buffer = bytes::BytesMut::new();
+    loop {
+        buffer.reserve(BUFFER);
+        let read = tokio::time::timeout(SILENCE, stream.read_buf(&mut buffer)).await;
+        let count = read.map_err(|_| io::ErrorKind::TimedOut)??;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        while let Some(bytes) = codec.decode(&mut buffer)? {
             // A VM that is stopping says so first.
             if let Some(frame::Kind::Answer(answer)) = decode(bytes)?.kind {
                 return Ok(answer.into());
             }
         }
-    };
-    let answer = tokio::time::timeout(ANSWER, asked).await;
-    answer.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 fn frame_codec() -> codec::LengthDelimitedCodec {
--- a/crates/geraniumgauge/src/edge/tests/mod.rs
+++ b/crates/geraniumgauge/src/edge/tests/mod.rs
@@ -1,1 +1,2 @@
+mod peers;
 mod sender;
