A reply of the store is waited for as long as it comes

A VM whose link is narrow and shared by answers counted the store as away while it was reading from it. The wait is for silence, before and within a reply, and 3 s more for a whole one. The test fails with the wait over the whole.

--- a/crates/geraniumgauge/src/h1/exchange.rs
+++ b/crates/geraniumgauge/src/h1/exchange.rs
@@ -19,6 +19,8 @@
 const PROBE: time::Duration = time::Duration::from_secs(1);
 /// Probes without an answer after which a connection has failed.
 const PROBES: u32 = 2;
+/// How much longer a whole reply may take than its first byte.
+const LONGEST: time::Duration = time::Duration::from_secs(3);
 /// Largest reply.
 const MAX_REPLY: rate::Bytes = rate::Bytes(8 << 20);
 
@@ -55,8 +57,8 @@
         }
     }
 
-    /// Sends `request`, a whole message, and waits for its reply for `wait` at
-    /// most. Where a kept connection turns out closed before any byte of the
+    /// Sends `request`, a whole message, and waits for its reply, which may be
+    /// silent for `wait` at most. Where a kept connection turns out closed before any byte of the
     /// reply, `repeatable` says whether the call may go out once more.
     ///
     /// # Errors
@@ -80,11 +82,7 @@
             Some(stream) => stream,
             None => self.connect().await.map_err(Failure::NotSent)?,
         };
-        let exchange = exchange(&mut stream, request, self.names);
-        let Ok(reply) = tokio::time::timeout(wait, exchange).await else {
-            return Err(Failure::Silent);
-        };
-        let (reply, more) = reply.map_err(Failure::NoReply)?;
+        let (reply, more) = exchange(&mut stream, request, wait, self.names).await?;
         if !reply.close && !more {
             self.stream = Some(stream);
         }
@@ -106,24 +104,35 @@
     }
 }
 
-async fn exchange(
-    stream: &mut tokio::net::TcpStream,
+/// Sends `request` and reads its reply, which may be silent for `wait` before
+/// and within it, and take [`LONGEST`] beyond that.
+pub(super) async fn exchange(
+    stream: &mut (impl tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin),
     request: &[u8],
+    wait: time::Duration,
     names: h1::Names,
-) -> Result<(h1::Reply, bool), h1::Error> {
-    stream.write_all(request).await?;
+) -> Result<(h1::Reply, bool), Failure> {
+    let end = tokio::time::Instant::now() + wait + LONGEST;
+    let sent = tokio::time::timeout(wait, stream.write_all(request)).await;
+    sent.map_err(|_| Failure::Silent)?
+        .map_err(|error| Failure::NoReply(error.into()))?;
     let mut codec = h1::ReplyCodec::new(names, MAX_REPLY);
     let mut buffer = bytes::BytesMut::new();
     loop {
-        let count = stream.read_buf(&mut buffer).await?;
+        let until = end.min(tokio::time::Instant::now() + wait);
+        let read = tokio::time::timeout_at(until, stream.read_buf(&mut buffer)).await;
+        let read = read.map_err(|_| Failure::Silent)?;
+        let count = read.map_err(|error| Failure::NoReply(error.into()))?;
         let decoded = if count == 0 {
-            codec.decode_eof(&mut buffer)?
+            codec.decode_eof(&mut buffer)
         } else {
-            codec.decode(&mut buffer)?
+            codec.decode(&mut buffer)
         };
-        match decoded {
+        match decoded.map_err(Failure::NoReply)? {
             Some(reply) => return Ok((reply, !buffer.is_empty())),
-            None if count == 0 => return Err(h1::Error::Malformed("connection ended")),
+            None if count == 0 => {
+                return Err(Failure::NoReply(h1::Error::Malformed("connection ended")));
+            }
             None => {}
         }
     }
--- a/crates/geraniumgauge/src/h1/tests.rs
+++ b/crates/geraniumgauge/src/h1/tests.rs
@@ -126,3 +126,56 @@
     let mut buffer = bytes::BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab");
     assert!(codec.decode_eof(&mut buffer).is_err());
 }
+
+/// The reply to a call of which a tenth comes each `pause`, and none any more
+/// after `pieces`.
+fn call(pieces: usize, pause: std::time::Duration) -> Result<usize, exchange::Failure> {
+    use tokio::io::AsyncWriteExt as _;
+    const SIZE: usize = 100_000;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build();
+    runtime.expect("a runtime").block_on(async {
+        let (mut near, mut far) = tokio::io::duplex(1 << 20);
+        let reply = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {SIZE}\r\n\r\n{}",
+            "a".repeat(SIZE)
+        );
+        let send = async {
+            for piece in reply.as_bytes().chunks(reply.len() / 10).take(pieces) {
+                tokio::time::sleep(pause).await;
+                far.write_all(piece).await.expect("an open connection");
+            }
+            std::future::pending::<()>().await;
+        };
+        let wait = std::time::Duration::from_millis(900);
+        tokio::select! {
+            reply = exchange::exchange(&mut near, b"GET / HTTP/1.1\r\n\r\n", wait, NAMES) => {
+                reply.map(|(reply, _)| reply.body.len())
+            }
+            () = send => unreachable!("it waits for ever"),
+        }
+    })
+}
+
+/// Guards against a store that counts as away while its reply, a large one, is
+/// being read over a narrow link.
+#[test]
+fn a_reply_is_waited_for_as_long_as_it_comes() {
+    let length = call(11, std::time::Duration::from_millis(250));
+    assert_eq!(length.ok(), Some(100_000));
+}
+
+/// Guards against a store that falls silent within a reply, or never ends one.
+#[test]
+fn a_reply_that_stops_coming_is_given_up() {
+    for (pieces, pause) in [(4, 100), (11, 800)] {
+        let pause = std::time::Duration::from_millis(pause);
+        let failure = call(pieces, pause);
+        assert!(
+            matches!(failure, Err(exchange::Failure::Silent)),
+            "{failure:?}"
+        );
+    }
+}
