A VM that starts takes no look of long ago for a fresh one

What others say stood for its own proof. It now asks how old the look is that an answer includes: from 1.8 look periods on it looks itself first, and takes the answer only where the store is silent for 0.3 s or its look fails, so that a start while the store is away serves as before (a second test, 4 ms to 10 s of silence).

--- a/crates/geraniumgauge/src/spread/content.rs
+++ b/crates/geraniumgauge/src/spread/content.rs
@@ -91,8 +91,18 @@
         }
     }
 
-    /// Takes what another VM has answered.
-    pub(super) fn take_answer(&self, from: net::SocketAddr, answer: &mut spread::Answer) {
+    /// Takes what another VM has answered after `took`.
+    pub(super) fn take_answer(
+        &self,
+        from: net::SocketAddr,
+        answer: &mut spread::Answer,
+        took: time::Duration,
+    ) {
+        if !self.handle(|state, now| state.trusts(&answer.summary, took, now)) {
+            answer.config = None;
+            answer.registrations = None;
+            return;
+        }
         let source = format!("VM at {from}");
         let (holds, sure) = (answer.summary.holds, answer.summary.sure);
         if let (Some(text), Some(revision)) = (answer.config.take(), holds.config) {
--- a/crates/geraniumgauge/src/spread/service.rs
+++ b/crates/geraniumgauge/src/spread/service.rs
@@ -299,7 +299,7 @@
         let answer = match answer {
             Ok(mut answer) => {
                 log_answer(from, &answer, took);
-                self.take_answer(from, &mut answer);
+                self.take_answer(from, &mut answer, took);
                 Some(answer)
             }
             Err(error) => {
--- a/crates/geraniumgauge/src/spread/state/ask.rs
+++ b/crates/geraniumgauge/src/spread/state/ask.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    fn knows_nothing(&self) -> bool {
+    pub(super) fn knows_nothing(&self) -> bool {
         self.holds.revision.is_none() || self.holds.config.is_none()
     }
 
--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -320,6 +320,28 @@
         self.draw_ask(at);
     }
 
+    /// Whether this VM takes what another one has told after `took`. One that knows
+    /// nothing yet serves by what it takes first: it looks itself rather than rely
+    /// on a look of long ago, unless the store doesn't answer.
+    pub fn trusts(
+        &mut self,
+        summary: &spread::Summary,
+        took: time::Duration,
+        now: clock::Moment,
+    ) -> bool {
+        let age = summary.look.as_ref().map(|look| look.age + took);
+        let fresh = age.is_some_and(|age| age < self.period.mul_f64(ALONE.end));
+        let began = self.busy.look;
+        let silent = self.failures > 0 || began.is_some_and(|began| now.since(began) >= DOUBT);
+        if fresh || silent || !self.knows_nothing() {
+            return true;
+        }
+        log::info!(age_ms:? = age.map(clock::millis); "another VM's news are too old to start with");
+        self.drawn = true;
+        self.look_at = now;
+        false
+    }
+
     /// The latest look as it is told to others.
     pub(super) fn look(&self, now: clock::Moment) -> Option<spread::Look> {
         self.latest.as_ref().map(|latest| spread::Look {
--- a/crates/geraniumgauge/src/spread/tests/start.rs
+++ b/crates/geraniumgauge/src/spread/tests/start.rs
@@ -1,5 +1,7 @@
 //! Starts of VMs and of fleets, and how many VMs there are.
 
+use std::time;
+
 use crate::spread;
 use crate::spread::tests::world;
 use crate::spread::tests::world::SECOND;
@@ -145,6 +147,51 @@
     }
 }
 
+/// Guards against a VM that starts beside one that was cut off for long, and
+/// serves by the configuration of that one.
+#[test]
+fn a_start_takes_no_old_news_for_fresh() {
+    for seed in 0..8 {
+        let mut world = world::settled(61, seed);
+        let cut = world::of_place(&world, 2);
+        for vm in &cut {
+            world.vms[*vm].side = 1;
+            world.vms[*vm].served = false;
+        }
+        let starts = *cut.last().expect("VMs of a data centre");
+        world.stop(starts);
+        world.change();
+        world.run(10 * SECOND);
+        for vm in cut {
+            world.vms[vm].side = 0;
+            world.vms[vm].served = true;
+        }
+        world.start(starts);
+        let knows = |world: &world::World| world.vms[starts].state.holds().config.is_some();
+        assert!(world.until(SECOND, knows).is_some(), "seed {seed}");
+        let config = world.vms[starts].state.holds().config;
+        assert_eq!(config, world.store.config, "seed {seed}");
+    }
+}
+
+/// Guards against a VM that starts while the store is away, beside others that
+/// know what was there, and refuses all callers.
+#[test]
+fn a_start_without_the_store_takes_what_others_hold() {
+    for patience in [4, 900, 10_000] {
+        let mut world = world::settled(61, 3);
+        world.patience = time::Duration::from_millis(patience);
+        for vm in &mut world.vms {
+            vm.served = false;
+        }
+        world.run(7 * SECOND);
+        world.stop(30);
+        world.start(30);
+        let knows = |world: &world::World| world.vms[30].state.holds().config.is_some();
+        assert!(world.until(SECOND, knows).is_some(), "{patience} ms");
+    }
+}
+
 /// Guards against a VM without power that is asked, and holds up the start of
 /// the VM that asks until the connection times out.
 #[test]
--- a/crates/geraniumgauge/src/spread/tests/world.rs
+++ b/crates/geraniumgauge/src/spread/tests/world.rs
@@ -306,9 +306,9 @@
                 }
                 self.answer(vm, &fetch.member, question, answer);
             }
-            Event::Answered(question, answer) => {
+            Event::Answered(question, mut answer) => {
                 if let Some((from, began)) = self.vms[vm].questions.remove(&question) {
-                    take(&mut self.vms[vm].state, &answer, now);
+                    take(&mut self.vms[vm].state, &mut answer, now.since(began), now);
                     let took = now.since(began);
                     let state = &mut self.vms[vm].state;
                     state.answered(address(from), Some(&answer), took, now);
@@ -474,6 +474,13 @@
     world
 }
 
+/// The VMs of a data centre.
+pub(crate) fn of_place(world: &World, place: usize) -> Vec<usize> {
+    (0..world.vms.len())
+        .filter(|vm| vm % PLACES == place)
+        .collect()
+}
+
 /// How many VMs there are, as each VM that has power was shown it.
 pub(crate) fn views(world: &World) -> impl Iterator<Item = Option<usize>> {
     let on = world.vms.iter().filter(|vm| vm.on);
@@ -491,7 +498,17 @@
 }
 
 /// What the program does with an answer before the state hears it.
-fn take(state: &mut spread::State, answer: &spread::Answer, now: clock::Moment) {
+fn take(
+    state: &mut spread::State,
+    answer: &mut spread::Answer,
+    took: time::Duration,
+    now: clock::Moment,
+) {
+    if !state.trusts(&answer.summary, took, now) {
+        answer.config = None;
+        answer.registrations = None;
+        return;
+    }
     let (mut holds, mut sure) = (state.holds(), state.is_sure());
     let theirs = answer.summary.holds;
     if answer.config.is_some() {
