A VM says that the store is away only where it has found so itself

Two VMs that read the store repeated each other's word until both had looked, and those that passed an update on added what they had heard before. An update now carries its sender's own doubts, or, passed on, what it carried. The test fails without this: all three updates said away.

--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -99,7 +99,7 @@
 
     /// When a look that has no reply yet is told of as failed.
     pub(super) fn doubt_due(&self, now: clock::Moment) -> Option<clock::Moment> {
-        let told = self.away || self.duty(now).is_none();
+        let told = self.doubts || self.duty(now).is_none();
         let began = self.busy.look.filter(|_| !told);
         began.map(|began| began + DOUBT)
     }
@@ -108,6 +108,7 @@
         if self.doubt_due(now).is_some_and(|due| now >= due) {
             log::info!(age_ms:? = self.age(now).map(clock::millis); "store is slow to answer");
             self.away = true;
+            self.doubts = true;
             self.tell(None, now);
         }
     }
@@ -165,6 +166,7 @@
         self.backoff.succeeded();
         self.resigned = false;
         self.away = false;
+        self.doubts = false;
         self.own_look = Some(now);
         // A start whose clock is behind an earlier one's goes on from that.
         self.number = self.number.max(self.members.own().incarnation.0) + 1;
@@ -185,6 +187,7 @@
             log::warn!(age_ms:? = self.age(now).map(clock::millis); "store can't be read");
         }
         self.away = true;
+        self.doubts = true;
         self.draw_reliance(now);
         self.postpone(now);
         if self.duty(now).is_some() {
@@ -315,6 +318,7 @@
             at,
         });
         self.away = false;
+        self.doubts = false;
         self.draw_reliance(at);
         self.draw_look(at, now);
         self.draw_ask(at);
--- a/crates/geraniumgauge/src/spread/state/mod.rs
+++ b/crates/geraniumgauge/src/spread/state/mod.rs
@@ -176,6 +176,8 @@
     heard_of: Option<(spread::Holds, bool)>,
     /// Whether the store was last found or said to be away.
     away: bool,
+    /// Whether this VM itself found it so.
+    doubts: bool,
     /// Own looks that failed in a row.
     failures: u32,
     /// The pauses after them, while this VM looks for all.
@@ -252,6 +254,7 @@
             rely_until: now + period,
             heard_of: None,
             away: false,
+            doubts: false,
             failures: 0,
             backoff: spread::store::backoff(),
             try_at: now,
--- a/crates/geraniumgauge/src/spread/state/tell.rs
+++ b/crates/geraniumgauge/src/spread/state/tell.rs
@@ -76,7 +76,7 @@
             self.take_look(look, now);
         }
         if first {
-            self.pass_on(update.changes, now);
+            self.pass_on(update.changes, update.away, now);
         }
     }
 
@@ -124,14 +124,17 @@
             let age = look.age + now.since(owed.heard);
             self.take_look(&spread::Look { age, ..look }, now);
         }
-        self.pass_on(None, now);
+        self.pass_on(None, false, now);
     }
 
-    /// Tells the VMs of this data centre.
-    fn pass_on(&mut self, changes: Option<spread::Changes>, now: clock::Moment) {
+    /// Tells the VMs of this data centre; that the store is `away`, as it was told.
+    fn pass_on(&mut self, changes: Option<spread::Changes>, away: bool, now: clock::Moment) {
         let near = self.members.others().filter(|member| self.is_near(member));
         let to = near.map(|member| member.address).collect();
-        let update = self.update(changes, now);
+        let update = spread::Update {
+            away,
+            ..self.update(changes, now)
+        };
         self.send(to, update, spread::Pass::None);
     }
 
@@ -199,7 +202,7 @@
         spread::Update {
             vm: self.members.own().vm.clone(),
             summary: self.summary(now),
-            away: self.away,
+            away: self.doubts,
             pass: spread::Pass::None,
             changes,
         }
--- a/crates/geraniumgauge/src/spread/tests/state.rs
+++ b/crates/geraniumgauge/src/spread/tests/state.rs
@@ -105,6 +105,48 @@
     }
 }
 
+/// Guards against word of an outage that VMs repeat to each other, though none of
+/// them has found the store away.
+#[test]
+fn only_own_doubts_of_the_store_are_told() {
+    let mut world = world::settled(61, 4);
+    let now = world.now;
+    let reads = |vm: &world::Vm| vm.state.duty(now).is_some();
+    let reader = world.vms.iter().position(reads).expect("a VM that reads");
+    let state = &mut world.vms[reader].state;
+    let away = spread::Update {
+        vm: "vm-20".parse().expect("a name"),
+        summary: spread::Summary {
+            holds: state.holds(),
+            sure: true,
+            look: None,
+            vms: None,
+            members: state.members().digest(),
+        },
+        away: true,
+        pass: spread::Pass::None,
+        changes: None,
+    };
+    let from = "10.0.0.20:7000".parse().expect("an address");
+    state.heard(from, spread::Datagram::Update(away), now);
+    state.watched(None, now);
+    let told = state
+        .tick(now)
+        .into_iter()
+        .filter_map(|action| match action {
+            spread::Action::Send {
+                datagram: spread::Datagram::Update(update),
+                ..
+            } => Some(update.away),
+            _ => None,
+        });
+    let told: Vec<bool> = told.collect();
+    assert!(
+        !told.is_empty() && told.iter().all(|away| !away),
+        "{told:?}"
+    );
+}
+
 /// Guards against a duty that nobody takes over.
 #[test]
 fn those_that_look_for_all_are_replaced() {
