--- a/crates/geraniumgauge/src/spread/state/directory.rs
+++ b/crates/geraniumgauge/src/spread/state/directory.rs
@@ -24,6 +24,17 @@
 /// Look periods between two writes.
 const WRITE: u32 = 2;
 
+/// A page of the store's directory: some VMs of the fleet, by which a VM that
+/// starts finds the others.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Directory {
+    /// How many VMs there were.
+    pub vms: usize,
+    /// Some of them.
+    pub members: Vec<spread::Member>,
+}
+
 impl state::State {
     /// Refreshes this VM's own record, and lets go of old ones.
     pub(super) fn keep_records(&mut self, now: clock::Moment) {
--- a/crates/geraniumgauge/src/spread/state/mod.rs
+++ b/crates/geraniumgauge/src/spread/state/mod.rs
@@ -10,11 +10,16 @@
 //! While the store is away, those who look for all say so; the others don't
 //! knock but for a few by chance, as the store may turn away some VMs only.
 
+mod action;
 mod ask;
 mod directory;
 mod look;
 mod tell;
 
+pub use action::Action;
+pub use action::View;
+pub use directory::Directory;
+
 use std::collections;
 use std::net;
 use std::time;
@@ -41,59 +46,6 @@
 /// Look periods in which VMs that start for the first time find each other.
 const SETTLE: u32 = 2;
 
-/// What is to be done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Send a datagram.
-    Send {
-        /// To whom.
-        to: Vec<net::SocketAddr>,
-        /// What it says.
-        datagram: spread::Datagram,
-    },
-    /// Ask another VM; [`State::answered`] takes the answer.
-    Fetch {
-        /// Which one.
-        from: net::SocketAddr,
-        /// What for.
-        fetch: spread::Fetch,
-    },
-    /// Look at the store; [`State::looked`] takes the outcome.
-    Look,
-    /// Read the directory; [`State::listed`] takes it.
-    ReadDirectory,
-    /// Write a page of the directory; [`State::written`] takes the outcome.
-    WriteDirectory {
-        /// Which page.
-        page: usize,
-        /// What it says.
-        directory: spread::Directory,
-    },
-    /// The view of the fleet has changed.
-    View(View),
-}
-
-/// The VMs that may be alive.
-#[derive(Debug, Clone, PartialEq)]
-pub struct View {
-    /// How many there are, this one included, and never too few; `None` until
-    /// this VM has learned it.
-    pub vms: Option<usize>,
-    /// The others, as far as they are known.
-    pub others: Vec<spread::Member>,
-}
-
-/// A page of the store's directory: some VMs of the fleet, by which a VM that
-/// starts finds the others.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct Directory {
-    /// How many VMs there were.
-    pub vms: usize,
-    /// Some of them.
-    pub members: Vec<spread::Member>,
-}
-
 /// What is under way.
 #[derive(Debug, Default)]
 struct Busy {
--- a/crates/geraniumgauge/src/spread/tests/mod.rs
+++ b/crates/geraniumgauge/src/spread/tests/mod.rs
@@ -1,5 +1,4 @@
 mod large;
-pub(crate) mod links;
 mod member;
 mod sending;
 mod service;
--- a/crates/geraniumgauge/src/spread/tests/world.rs
+++ b/crates/geraniumgauge/src/spread/tests/world/mod.rs
@@ -1,5 +1,8 @@
 //! A fleet in virtual time: many states, datagrams that may be lost, and a store.
 
+mod answers;
+mod links;
+
 use std::collections;
 use std::net;
 use std::time;
@@ -12,7 +15,6 @@
 use crate::ids;
 use crate::rate;
 use crate::spread;
-use crate::spread::tests::links;
 use crate::time as clock;
 
 /// The look period of the fleets here.
@@ -23,8 +25,6 @@
 const NEAR: time::Duration = time::Duration::from_micros(300);
 const FAR: time::Duration = time::Duration::from_micros(1500);
 const READ: time::Duration = time::Duration::from_millis(12);
-/// Longest wait for another VM's answer.
-const ANSWER: time::Duration = time::Duration::from_secs(1);
 const PLACES: usize = 5;
 
 /// Something that happens.
@@ -290,7 +290,7 @@
             Event::Wake => {}
             Event::Datagram(from, datagram) => {
                 if let spread::Datagram::Update(update) = &datagram {
-                    agree(state, &update.summary.holds, update.summary.sure, now);
+                    answers::agree(state, &update.summary.holds, update.summary.sure, now);
                 }
                 state.heard(address(from), datagram, now);
             }
@@ -308,7 +308,7 @@
             }
             Event::Answered(question, mut answer) => {
                 if let Some((from, began)) = self.vms[vm].questions.remove(&question) {
-                    take(&mut self.vms[vm].state, &mut answer, now.since(began), now);
+                    answers::take(&mut self.vms[vm].state, &mut answer, now.since(began), now);
                     let took = now.since(began);
                     let state = &mut self.vms[vm].state;
                     state.answered(address(from), Some(&answer), took, now);
@@ -352,80 +352,6 @@
         self.wake(vm, wake);
     }
 
-    /// Sends an answer, if the VM has room for it on its link.
-    fn answer(
-        &mut self,
-        vm: usize,
-        to: &spread::Member,
-        question: u64,
-        mut answer: spread::Answer,
-    ) {
-        let size = rate::Bytes(self.size as u64);
-        let state = &mut self.vms[vm].state;
-        if answer.config.is_some()
-            && let Err(elsewhere) = state.admit(to, size, self.now)
-        {
-            answer.config = None;
-            answer.registrations = None;
-            answer.elsewhere = Some(elsewhere);
-        }
-        self.send(vm, index(to.address), question, answer);
-    }
-
-    /// Sends an answer, over the sender's link if it is large.
-    fn send(&mut self, vm: usize, to: usize, question: u64, answer: spread::Answer) {
-        if answer.config.is_none() || self.size == 0.0 {
-            return self.deliver(vm, to, question, answer);
-        }
-        let transfer = links::Transfer {
-            to,
-            question,
-            answer,
-            left: self.size,
-        };
-        let link = &mut self.vms[vm].link;
-        link.begin(transfer, self.now);
-        self.most_sending = self.most_sending.max(link.sending());
-        self.send_next(vm);
-    }
-
-    fn send_next(&mut self, vm: usize) {
-        if let Some((at, turn)) = self.vms[vm].link.next() {
-            self.push(vm, self.now.until(at), Event::Sent(turn));
-        }
-    }
-
-    fn deliver(&mut self, vm: usize, to: usize, question: u64, answer: spread::Answer) {
-        let way = self.way(vm, to);
-        if self.reach(vm, to) {
-            self.push(to, way, Event::Answered(question, answer));
-        }
-    }
-
-    /// The VM that asked ends the connection.
-    fn hang_up(&mut self, to: usize, vm: usize, question: u64) {
-        if self.vms[vm].link.abort(question, self.now) {
-            self.vms[vm].state.told(address(to), self.now);
-            self.act(vm);
-            self.send_next(vm);
-        }
-    }
-
-    fn ask(&mut self, vm: usize, from: usize, fetch: spread::Fetch) {
-        self.asked += 1;
-        let question = self.asked;
-        let asked = (from, self.now);
-        self.vms[vm].questions.insert(question, asked);
-        let wait = if self.reach(vm, from) {
-            let way = self.way(vm, from) * 2;
-            self.push(from, way, Event::Asked(question, fetch));
-            ANSWER
-        } else {
-            time::Duration::from_millis(100)
-        };
-        self.push(vm, wait, Event::Overdue(question));
-    }
-
     fn carry_out(&mut self, vm: usize, action: spread::Action) {
         let served = self.vms[vm].served;
         let took = if served { READ } else { self.patience };
@@ -486,38 +412,3 @@
     let on = world.vms.iter().filter(|vm| vm.on);
     on.map(|vm| vm.view.as_ref().and_then(|view| view.vms))
 }
-
-/// What the program does with an update before the state hears it.
-fn agree(state: &mut spread::State, theirs: &spread::Holds, sure: bool, now: clock::Moment) {
-    let mut holds = state.holds();
-    if holds.revision.is_some() && holds.digest == theirs.digest {
-        holds.revision = holds.revision.max(theirs.revision);
-        let sure = sure || state.is_sure();
-        state.hold(holds, sure, now);
-    }
-}
-
-/// What the program does with an answer before the state hears it.
-fn take(
-    state: &mut spread::State,
-    answer: &mut spread::Answer,
-    took: time::Duration,
-    now: clock::Moment,
-) {
-    if !state.trusts(&answer.summary, took, now) {
-        answer.config = None;
-        answer.registrations = None;
-        return;
-    }
-    let (mut holds, mut sure) = (state.holds(), state.is_sure());
-    let theirs = answer.summary.holds;
-    if answer.config.is_some() {
-        holds.config = holds.config.max(theirs.config);
-    }
-    if answer.registrations.is_some() && theirs.revision >= holds.revision {
-        (holds.revision, holds.digest) = (theirs.revision, theirs.digest);
-        sure = answer.summary.sure;
-    }
-    state.hold(holds, sure, now);
-    agree(state, &theirs, answer.summary.sure, now);
-}
