Read-through: a VM that must look waits for nobody; one that knows nothing has a head start

A VM that starts and found its neighbours' news too old is put off by no update; questions of VMs that know nothing don't wait behind larger ones; a look that is put off is logged where it is overdue.

--- a/crates/geraniumgauge/src/h1/exchange.rs
+++ b/crates/geraniumgauge/src/h1/exchange.rs
@@ -66,8 +66,9 @@
     }
 
     /// Sends `request`, a whole message, and waits for its reply, which may be
-    /// silent for `wait` at most. Where a kept connection turns out closed before any byte of the
-    /// reply, `repeatable` says whether the call may go out once more.
+    /// silent for `wait` at most. Where a kept connection turns out closed before
+    /// any byte of the reply, `repeatable` says whether the call may go out once
+    /// more.
     ///
     /// # Errors
     /// Where no reply came; the next call then uses a new connection.
--- a/crates/geraniumgauge/src/spread/content.rs
+++ b/crates/geraniumgauge/src/spread/content.rs
@@ -55,8 +55,7 @@
         let registrations = registrations.then(|| self.told(held, fetch));
         let size = config.map_or(0, |(_, text)| text.len())
             + registrations.as_ref().map_or(0, spread::wire::size_of);
-        let asker = &fetch.member;
-        match self.slot(asker, rate::Bytes(size as u64)) {
+        match self.slot(fetch, rate::Bytes(size as u64)) {
             Ok(slot) => {
                 answer.config = config.map(|(_, text)| text.clone());
                 answer.registrations = registrations;
@@ -64,7 +63,7 @@
             }
             Err(elsewhere) => {
                 log::info!(
-                    asker:% = asker.vm, bytes = size, named = elsewhere.vms.len(),
+                    asker:% = fetch.member.vm, bytes = size, named = elsewhere.vms.len(),
                     after_ms = clock::millis(elsewhere.after);
                     "link is full of answers; VM sent elsewhere"
                 );
--- a/crates/geraniumgauge/src/spread/service.rs
+++ b/crates/geraniumgauge/src/spread/service.rs
@@ -259,18 +259,18 @@
         self.handle(|state, now| state.heard(from, datagram, now));
     }
 
-    /// Takes a part of the link for an answer to `asker`.
+    /// Takes a part of the link for the answer to a question.
     ///
     /// # Errors
     /// Where it should ask instead.
     pub(super) fn slot(
         &self,
-        asker: &spread::Member,
+        fetch: &spread::Fetch,
         size: rate::Bytes,
     ) -> Result<Slot, spread::Elsewhere> {
         let now = self.clock().now();
-        self.0.state.borrow_mut().admit(asker, size, now)?;
-        let (service, asker) = (self.clone(), asker.address);
+        self.0.state.borrow_mut().admit(fetch, size, now)?;
+        let (service, asker) = (self.clone(), fetch.member.address);
         let end = move || {
             let now = service.clock().now();
             service.0.state.borrow_mut().told(asker, now);
--- a/crates/geraniumgauge/src/spread/state/ask.rs
+++ b/crates/geraniumgauge/src/spread/state/ask.rs
@@ -260,19 +260,21 @@
         }
     }
 
-    /// Whether an answer of `size` may be sent now to `asker`; [`Self::told`] ends
+    /// Whether an answer of `size` may be sent now to a question; [`Self::told`] ends
     /// it. VMs that tell more others than most have a head start: larger ones, and
-    /// those that ask for another data centre.
+    /// those that ask for another data centre. So have those that know nothing.
     ///
     /// # Errors
     /// Where it should ask instead.
     pub fn admit(
         &mut self,
-        asker: &spread::Member,
+        fetch: &spread::Fetch,
         size: rate::Bytes,
         now: clock::Moment,
     ) -> Result<(), spread::Elsewhere> {
-        let waits = self.is_near(asker) && self.is_least(asker);
+        let asker = &fetch.member;
+        let serves = fetch.holds.config.is_some();
+        let waits = serves && self.is_near(asker) && self.is_least(asker);
         let begun = self.sending.begin(asker.address, size, waits, now);
         begun.map_err(|mut elsewhere| {
             // Once over the dear links is enough.
--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -22,8 +22,8 @@
 /// answered doesn't come: what is left until a change must be in force is for the
 /// look.
 const IN_TURN: f64 = 1.95;
-/// How long a look may be without a sign of the store before it is said to be away. The others must
-/// hear of it before they look for themselves.
+/// How long a look may be without a sign of the store before it is said to be
+/// away. The others must hear of it before they look for themselves.
 const DOUBT: time::Duration = time::Duration::from_millis(300);
 /// Part of the look period after which a store without a configuration is looked
 /// at again: it may have one any moment.
@@ -165,6 +165,7 @@
     /// told what it showed; `None` where the store didn't tell.
     pub fn looked(&mut self, age: Option<time::Duration>, now: clock::Moment) {
         self.busy.look = None;
+        self.must_look = false;
         match age {
             Some(age) => self.look_succeeded(age, now),
             None => self.look_failed(now),
@@ -236,12 +237,14 @@
         let before = self.look_at;
         self.postpone(now);
         self.look_at = self.look_at.min(self.rely_until);
-        log::info!(
-            age_ms:? = age_ms, teller:% = teller, failures = self.failures,
-            due_before_ms = clock::millis(now.until(before)),
-            due_ms = clock::millis(now.until(self.look_at));
-            "own look put off"
-        );
+        if now.since(self.looked_at()) >= self.period.mul_f64(ALONE.end) {
+            log::info!(
+                age_ms:? = age_ms, teller:% = teller, failures = self.failures,
+                due_before_ms = clock::millis(now.until(before)),
+                due_ms = clock::millis(now.until(self.look_at));
+                "own look put off"
+            );
+        }
     }
 
     /// Whether this VM knows that others hold something newer.
@@ -253,14 +256,19 @@
     /// This VM learns that others hold something newer: whatever had put its own
     /// look off, it is due as if nothing had been heard since the latest one.
     pub(super) fn fall_behind(&mut self, now: clock::Moment) {
-        let latest = self.latest.as_ref();
-        let since = latest.map_or(self.started, |latest| latest.at);
         let before = self.look_at;
-        self.draw_look(since, now);
+        self.draw_look(self.looked_at(), now);
         self.look_at = self.look_at.min(before);
         self.await_answer(now);
     }
 
+    /// When the latest look was made that this VM holds; its start, where it holds
+    /// none.
+    fn looked_at(&self) -> clock::Moment {
+        let latest = self.latest.as_ref();
+        latest.map_or(self.started, |latest| latest.at)
+    }
+
     /// Draws how long this VM relies on others, from `since`.
     fn draw_reliance(&mut self, since: clock::Moment) {
         self.rely_until = since + self.part(RELIANCE);
@@ -306,9 +314,10 @@
     /// Puts the look off for an answer, but no later than so many look periods
     /// after the latest one.
     fn wait_for_answer(&mut self, periods: f64, now: clock::Moment) {
-        let latest = self.latest.as_ref();
-        let since = latest.map_or(self.started, |latest| latest.at);
-        let last = since + self.period.mul_f64(periods);
+        if self.must_look {
+            return;
+        }
+        let last = self.looked_at() + self.period.mul_f64(periods);
         let answered = now + self.period.mul_f64(ANSWER);
         self.look_at = self.look_at.max(answered.min(last));
     }
@@ -357,6 +366,7 @@
         }
         log::info!(age_ms:? = age.map(clock::millis); "another VM's news are too old to start with");
         self.drawn = true;
+        self.must_look = true;
         self.look_at = now;
         false
     }
--- a/crates/geraniumgauge/src/spread/state/mod.rs
+++ b/crates/geraniumgauge/src/spread/state/mod.rs
@@ -126,6 +126,8 @@
     look_at: clock::Moment,
     /// Until when it may leave that to others at most, whatever they say.
     rely_until: clock::Moment,
+    /// Whether it must look before it relies on others.
+    must_look: bool,
     /// What others hold that this VM lacked, and whether they are sure of it.
     heard_of: Option<(spread::Holds, bool)>,
     /// Whether the store was last found or said to be away.
@@ -206,6 +208,7 @@
             duty_since: None,
             look_at: now + OPENING,
             rely_until: now + period,
+            must_look: false,
             heard_of: None,
             away: false,
             doubts: false,
--- a/crates/geraniumgauge/src/spread/tests/world/answers.rs
+++ b/crates/geraniumgauge/src/spread/tests/world/answers.rs
@@ -16,20 +16,20 @@
     pub(super) fn answer(
         &mut self,
         vm: usize,
-        to: &spread::Member,
+        fetch: &spread::Fetch,
         question: u64,
         mut answer: spread::Answer,
     ) {
         let size = rate::Bytes(self.size as u64);
         let state = &mut self.vms[vm].state;
         if answer.config.is_some()
-            && let Err(elsewhere) = state.admit(to, size, self.now)
+            && let Err(elsewhere) = state.admit(fetch, size, self.now)
         {
             answer.config = None;
             answer.registrations = None;
             answer.elsewhere = Some(elsewhere);
         }
-        self.send(vm, world::index(to.address), question, answer);
+        self.send(vm, world::index(fetch.member.address), question, answer);
     }
 
     /// Sends an answer, over the sender's link if it is large.
--- a/crates/geraniumgauge/src/spread/tests/world/mod.rs
+++ b/crates/geraniumgauge/src/spread/tests/world/mod.rs
@@ -304,7 +304,7 @@
                 if !fetch.brief && holds.config > fetch.holds.config {
                     answer.config = Some(String::new());
                 }
-                self.answer(vm, &fetch.member, question, answer);
+                self.answer(vm, &fetch, question, answer);
             }
             Event::Answered(question, mut answer) => {
                 if let Some((from, began)) = self.vms[vm].questions.remove(&question) {
