--- a/crates/geraniumgauge/src/tests/rate.rs
+++ b/crates/geraniumgauge/src/tests/rate.rs
@@ -26,3 +26,14 @@
     assert!("1.2".parse::<Share>().is_err());
     assert_eq!("0.05".parse::<Share>().map(Share::get), Ok(0.05));
 }
+
+#[test]
+fn links_are_read_and_shown_as_they_were() {
+    let link = BytesPerSecond::of_link(14.0);
+    assert_eq!(link, BytesPerSecond(1_750_000.0));
+    assert_eq!(link.as_link(), 14.0);
+    assert_eq!(link.to_string().parse(), Ok(link));
+    for wrong in ["0", "-1 B/s", "fast", ""] {
+        assert!(wrong.parse::<BytesPerSecond>().is_err(), "{wrong}");
+    }
+}
