An answer without news makes no VM look at the store

Only answers that bear something are asked how old they are. The test fails without this; the test of starts missed it since its store has a configuration from the beginning.

--- a/crates/geraniumgauge/src/spread/content.rs
+++ b/crates/geraniumgauge/src/spread/content.rs
@@ -97,7 +97,7 @@
         answer: &mut spread::Answer,
         took: time::Duration,
     ) {
-        if !self.handle(|state, now| state.trusts(&answer.summary, took, now)) {
+        if !self.handle(|state, now| state.trusts(answer, took, now)) {
             answer.config = None;
             answer.registrations = None;
             return;
--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -353,11 +353,14 @@
     /// on a look of long ago, unless the store doesn't answer.
     pub fn trusts(
         &mut self,
-        summary: &spread::Summary,
+        answer: &spread::Answer,
         took: time::Duration,
         now: clock::Moment,
     ) -> bool {
-        let age = summary.look.as_ref().map(|look| look.age + took);
+        if answer.config.is_none() && answer.registrations.is_none() {
+            return true;
+        }
+        let age = answer.summary.look.as_ref().map(|look| look.age + took);
         let fresh = age.is_some_and(|age| age < self.period.mul_f64(ALONE.end));
         let sign = self.look_sign();
         let silent = self.failures > 0 || sign.is_some_and(|sign| now.since(sign) >= DOUBT);
--- a/crates/geraniumgauge/src/spread/tests/start.rs
+++ b/crates/geraniumgauge/src/spread/tests/start.rs
@@ -147,6 +147,35 @@
     }
 }
 
+/// Guards against VMs that start together and all look, as those they ask know
+/// nothing either.
+#[test]
+fn an_answer_without_news_makes_no_vm_look() {
+    let mut world = world::settled(3, 1);
+    world.stop(0);
+    world.start(0);
+    let now = world.now;
+    let state = &mut world.vms[0].state;
+    let summary = spread::Summary {
+        holds: spread::Holds::default(),
+        sure: false,
+        look: None,
+        vms: None,
+        members: 0,
+    };
+    let mut answer = spread::Answer {
+        summary,
+        records: Vec::new(),
+        config: None,
+        registrations: None,
+        elsewhere: None,
+    };
+    assert!(state.trusts(&answer, time::Duration::ZERO, now));
+    // News of which nobody knows how old they are do.
+    answer.config = Some(String::new());
+    assert!(!state.trusts(&answer, time::Duration::ZERO, now));
+}
+
 /// Guards against a VM that starts beside one that was cut off for long, and
 /// serves by the configuration of that one.
 #[test]
--- a/crates/geraniumgauge/src/spread/tests/world/answers.rs
+++ b/crates/geraniumgauge/src/spread/tests/world/answers.rs
@@ -109,7 +109,7 @@
     took: time::Duration,
     now: clock::Moment,
 ) {
-    if !state.trusts(&answer.summary, took, now) {
+    if !state.trusts(answer, took, now) {
         answer.config = None;
         answer.registrations = None;
         return;
