News of a VM that holds no look yet are no old news

Only a look that is known to be old makes a VM look first. The assertion of the test before that said otherwise was wrong, and is replaced by one for a look of long ago; the test of a data centre that was cut off is unchanged and passes.

--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -361,7 +361,8 @@
             return true;
         }
         let age = answer.summary.look.as_ref().map(|look| look.age + took);
-        let fresh = age.is_some_and(|age| age < self.period.mul_f64(ALONE.end));
+        // A VM that holds something and no look has just started itself.
+        let fresh = age.is_none_or(|age| age < self.period.mul_f64(ALONE.end));
         let sign = self.look_sign();
         let silent = self.failures > 0 || sign.is_some_and(|sign| now.since(sign) >= DOUBT);
         if fresh || silent || !self.knows_nothing() {
--- a/crates/geraniumgauge/src/spread/tests/start.rs
+++ b/crates/geraniumgauge/src/spread/tests/start.rs
@@ -171,8 +171,15 @@
         elsewhere: None,
     };
     assert!(state.trusts(&answer, time::Duration::ZERO, now));
-    // News of which nobody knows how old they are do.
+    // Nor does one of a VM that has just started, and took what it tells.
     answer.config = Some(String::new());
+    assert!(state.trusts(&answer, time::Duration::ZERO, now));
+    // A look of long ago does.
+    answer.summary.look = Some(spread::Look {
+        vm: "vm-1".parse().expect("a name"),
+        number: 9,
+        age: 3 * world::PERIOD,
+    });
     assert!(!state.trusts(&answer, time::Duration::ZERO, now));
 }
 
