An answer gives back its own part of the link alone

Found by reading the change again: answers under way were kept by asker, so the end of one gave back the part of another one to the same VM, and a small answer, which takes none, gave back that of a large one. A VM could then send more at a time than its link carries soon. Each answer has a ticket of its own; small ones have none, and no longer wake the VM's loop when their connection ends. Whether an asker is among the least powerful is looked for within the head start only, not at each question.

--- a/crates/geraniumgauge/src/spread/content.rs
+++ b/crates/geraniumgauge/src/spread/content.rs
@@ -59,7 +59,7 @@
             Ok(slot) => {
                 answer.config = config.map(|(_, text)| text.clone());
                 answer.registrations = registrations;
-                (answer, Some(slot))
+                (answer, slot)
             }
             Err(elsewhere) => {
                 log::info!(
--- a/crates/geraniumgauge/src/spread/mod.rs
+++ b/crates/geraniumgauge/src/spread/mod.rs
@@ -20,6 +20,7 @@
 pub use member::Member;
 pub use member::Members;
 pub use sending::Elsewhere;
+pub use sending::Ticket;
 pub use service::Hear;
 pub use service::Service;
 pub use service::Slot;
--- a/crates/geraniumgauge/src/spread/sending.rs
+++ b/crates/geraniumgauge/src/spread/sending.rs
@@ -36,9 +36,14 @@
     pub after: time::Duration,
 }
 
+/// The part of the link that one answer takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(u64);
+
 /// An answer under way.
 #[derive(Debug)]
 struct Running {
+    to: net::SocketAddr,
     size: rate::Bytes,
     since: clock::Moment,
 }
@@ -47,7 +52,9 @@
 #[derive(Debug)]
 pub(super) struct Sending {
     link: rate::BytesPerSecond,
-    running: collections::BTreeMap<net::SocketAddr, Running>,
+    running: collections::BTreeMap<Ticket, Running>,
+    /// Answers that were begun.
+    begun: u64,
     told: collections::VecDeque<net::SocketAddr>,
     /// VMs that were sent elsewhere, the first one at the front.
     waiting: collections::VecDeque<net::SocketAddr>,
@@ -61,15 +68,22 @@
         Self {
             link,
             running: collections::BTreeMap::new(),
+            begun: 0,
             told: collections::VecDeque::new(),
             waiting: collections::VecDeque::new(),
             renewed: now,
         }
     }
 
-    /// Begins to send an answer of `size` to the VM at `to`, unless too much is
-    /// under way. One answer is always sent, however large. Where `waits`, others
-    /// have a head start who tell more VMs.
+    /// Whether there is something new to tell, in which those who tell more VMs have
+    /// a head start.
+    pub(super) fn is_new(&self, now: clock::Moment) -> bool {
+        now < self.renewed + HEAD_START
+    }
+
+    /// Begins to send an answer of `size` to the VM at `to`, unless it `waits` for
+    /// others' head start or too much is under way. One answer is always sent,
+    /// however large. The part of the link to give back; `None` where it is small.
     ///
     /// # Errors
     /// Where else to ask.
@@ -79,16 +93,15 @@
         size: rate::Bytes,
         waits: bool,
         now: clock::Moment,
-    ) -> Result<(), Elsewhere> {
+    ) -> Result<Option<Ticket>, Elsewhere> {
         if size <= SMALL {
-            return Ok(());
+            return Ok(None);
         }
-        let wait = now.until(self.renewed + HEAD_START);
-        if waits && !wait.is_zero() {
+        if waits {
             self.put_off(to);
             return Err(Elsewhere {
                 vms: Vec::new(),
-                after: wait + self.takes(size),
+                after: now.until(self.renewed + HEAD_START) + self.takes(size),
             });
         }
         self.running
@@ -103,14 +116,17 @@
             });
         }
         self.waiting.retain(|vm| *vm != to);
-        self.running.insert(to, Running { size, since: now });
-        Ok(())
+        let since = now;
+        self.begun += 1;
+        let ticket = Ticket(self.begun);
+        self.running.insert(ticket, Running { to, size, since });
+        Ok(Some(ticket))
     }
 
-    /// The answer to the VM at `to` is sent, or nobody waits for it any more. Who
-    /// is to be told that there is room; `None` where that is no news.
-    pub(super) fn end(&mut self, to: net::SocketAddr) -> Option<Vec<net::SocketAddr>> {
-        self.running.remove(&to)?;
+    /// An answer is sent, or nobody waits for it any more. Who is to be told that
+    /// there is room; `None` where that is no news.
+    pub(super) fn end(&mut self, ticket: Ticket) -> Option<Vec<net::SocketAddr>> {
+        let Running { to, .. } = self.running.remove(&ticket)?;
         self.told.retain(|vm| *vm != to);
         self.told.push_front(to);
         self.told.truncate(NAMED);
--- a/crates/geraniumgauge/src/spread/service.rs
+++ b/crates/geraniumgauge/src/spread/service.rs
@@ -259,7 +259,8 @@
         self.handle(|state, now| state.heard(from, datagram, now));
     }
 
-    /// Takes a part of the link for the answer to a question.
+    /// Takes a part of the link for the answer to a question; `None` where the
+    /// answer is small.
     ///
     /// # Errors
     /// Where it should ask instead.
@@ -267,16 +268,17 @@
         &self,
         fetch: &spread::Fetch,
         size: rate::Bytes,
-    ) -> Result<Slot, spread::Elsewhere> {
+    ) -> Result<Option<Slot>, spread::Elsewhere> {
         let now = self.clock().now();
-        self.0.state.borrow_mut().admit(fetch, size, now)?;
-        let (service, asker) = (self.clone(), fetch.member.address);
-        let end = move || {
-            let now = service.clock().now();
-            service.0.state.borrow_mut().told(asker, now);
-            service.0.wake.notify_one();
-        };
-        Ok(Slot(Box::new(end)))
+        let ticket = self.0.state.borrow_mut().admit(fetch, size, now)?;
+        Ok(ticket.map(|ticket| {
+            let service = self.clone();
+            Slot(Box::new(move || {
+                let now = service.clock().now();
+                service.0.state.borrow_mut().told(ticket, now);
+                service.0.wake.notify_one();
+            }))
+        }))
     }
 
     /// Tells all other VMs of a request that crashes upstreams.
--- a/crates/geraniumgauge/src/spread/state/ask.rs
+++ b/crates/geraniumgauge/src/spread/state/ask.rs
@@ -261,7 +261,7 @@
     }
 
     /// Whether an answer of `size` may be sent now to a question; [`Self::told`] ends
-    /// it. VMs that tell more others than most have a head start: larger ones, and
+    /// it, where it takes a part of the link. VMs that tell more others than most have a head start: larger ones, and
     /// those that ask for another data centre. So have those that know nothing.
     ///
     /// # Errors
@@ -271,10 +271,11 @@
         fetch: &spread::Fetch,
         size: rate::Bytes,
         now: clock::Moment,
-    ) -> Result<(), spread::Elsewhere> {
+    ) -> Result<Option<spread::Ticket>, spread::Elsewhere> {
         let asker = &fetch.member;
         let serves = fetch.holds.config.is_some();
-        let waits = serves && self.is_near(asker) && self.is_least(asker);
+        let new = self.sending.is_new(now);
+        let waits = new && serves && self.is_near(asker) && self.is_least(asker);
         let begun = self.sending.begin(asker.address, size, waits, now);
         begun.map_err(|mut elsewhere| {
             // Once over the dear links is enough.
@@ -293,9 +294,9 @@
         more && near.all(|vm| vm.power >= asker.power)
     }
 
-    /// The answer to the VM at `asker` is sent, or given up.
-    pub fn told(&mut self, asker: net::SocketAddr, now: clock::Moment) {
-        let Some(waiting) = self.sending.end(asker) else {
+    /// An answer is sent, or given up.
+    pub fn told(&mut self, ticket: spread::Ticket, now: clock::Moment) {
+        let Some(waiting) = self.sending.end(ticket) else {
             return;
         };
         if waiting.is_empty() {
--- a/crates/geraniumgauge/src/spread/tests/sending.rs
+++ b/crates/geraniumgauge/src/spread/tests/sending.rs
@@ -19,20 +19,28 @@
     clock::Moment::from_millis(millis)
 }
 
+/// Begins an answer that there is room for; its part of the link.
+fn begin(sending: &mut sending::Sending, to: u8, now: clock::Moment) -> spread::Ticket {
+    let begun = sending.begin(vm(to), LARGE, false, now);
+    let ticket = begun.expect("room on the link");
+    ticket.expect("a large answer takes a part of the link")
+}
+
 #[test]
 fn answers_beyond_what_the_link_carries_soon_are_sent_elsewhere() {
     let mut sending = sending::Sending::new(LINK, at(0));
     let now = at(1000);
-    assert_eq!(sending.begin(vm(1), LARGE, false, now), Ok(()));
+    let first = begin(&mut sending, 1, now);
     let full = sending.begin(vm(2), LARGE, false, now);
     let after = time::Duration::from_millis(300);
     let vms = Vec::new();
     assert_eq!(full, Err(spread::Elsewhere { vms, after }));
     // Little changes are told all the same.
-    assert_eq!(sending.begin(vm(3), rate::Bytes(900), false, now), Ok(()));
+    let small = sending.begin(vm(3), rate::Bytes(900), false, now);
+    assert_eq!(small, Ok(None));
     // Those who wait are told of the room, and later ones of who has been told.
-    assert_eq!(sending.end(vm(1)), Some(vec![vm(2)]));
-    assert_eq!(sending.begin(vm(2), LARGE, false, now), Ok(()));
+    assert_eq!(sending.end(first), Some(vec![vm(2)]));
+    begin(&mut sending, 2, now);
     let full = sending.begin(vm(4), LARGE, false, now);
     assert_eq!(full.map_err(|elsewhere| elsewhere.vms), Err(vec![vm(1)]));
 }
@@ -41,7 +49,8 @@
 fn an_answer_larger_than_all_that_the_link_carries_soon_is_sent_alone() {
     let mut sending = sending::Sending::new(LINK, at(0));
     let huge = rate::Bytes(4 << 20);
-    assert_eq!(sending.begin(vm(1), huge, false, at(1000)), Ok(()));
+    let sent = sending.begin(vm(1), huge, false, at(1000));
+    assert!(matches!(sent, Ok(Some(_))));
     assert!(sending.begin(vm(2), LARGE, false, at(1000)).is_err());
 }
 
@@ -49,8 +58,22 @@
 #[test]
 fn an_answer_that_nobody_takes_gives_its_part_of_the_link_back() {
     let mut sending = sending::Sending::new(LINK, at(0));
-    assert_eq!(sending.begin(vm(1), LARGE, false, at(1000)), Ok(()));
-    assert_eq!(sending.begin(vm(2), LARGE, false, at(7000)), Ok(()));
+    begin(&mut sending, 1, at(1000));
+    begin(&mut sending, 2, at(7000));
+}
+
+/// Guards against a VM that asks twice, of whose answers the first one's end
+/// gives the second one's part of the link back too.
+#[test]
+fn an_answer_gives_back_its_own_part_of_the_link_alone() {
+    let mut sending = sending::Sending::new(LINK, at(0));
+    let half = rate::Bytes(LARGE.0 / 2);
+    let first = sending.begin(vm(1), half, false, at(1000));
+    let first = first.expect("room on the link").expect("a part of it");
+    assert!(sending.begin(vm(1), half, false, at(1000)).is_ok());
+    assert!(sending.end(first).is_some());
+    assert_eq!(sending.end(first), None);
+    assert!(sending.begin(vm(2), LARGE, false, at(1000)).is_err());
 }
 
 /// Guards against small VMs that fill the link before those are told that tell
@@ -59,8 +82,10 @@
 fn those_who_tell_more_vms_have_a_head_start() {
     let mut sending = sending::Sending::new(LINK, at(0));
     sending.renew(at(1000));
+    assert!(sending.is_new(at(1001)));
     assert!(sending.begin(vm(1), LARGE, true, at(1001)).is_err());
-    assert_eq!(sending.begin(vm(2), LARGE, false, at(1001)), Ok(()));
-    sending.end(vm(2));
-    assert_eq!(sending.begin(vm(1), LARGE, true, at(1100)), Ok(()));
+    let first = begin(&mut sending, 2, at(1001));
+    sending.end(first);
+    assert!(!sending.is_new(at(1100)));
+    begin(&mut sending, 1, at(1100));
 }
--- a/crates/geraniumgauge/src/spread/tests/world/answers.rs
+++ b/crates/geraniumgauge/src/spread/tests/world/answers.rs
@@ -12,7 +12,7 @@
 const ANSWER: time::Duration = time::Duration::from_secs(1);
 
 impl world::World {
-    /// Sends an answer, if the VM has room for it on its link.
+    /// Sends an answer, over the sender's link if it is large and has room there.
     pub(super) fn answer(
         &mut self,
         vm: usize,
@@ -20,33 +20,32 @@
         question: u64,
         mut answer: spread::Answer,
     ) {
-        let size = rate::Bytes(self.size as u64);
-        let state = &mut self.vms[vm].state;
-        if answer.config.is_some()
-            && let Err(elsewhere) = state.admit(fetch, size, self.now)
-        {
-            answer.config = None;
-            answer.registrations = None;
-            answer.elsewhere = Some(elsewhere);
-        }
-        self.send(vm, world::index(fetch.member.address), question, answer);
-    }
-
-    /// Sends an answer, over the sender's link if it is large.
-    pub(super) fn send(&mut self, vm: usize, to: usize, question: u64, answer: spread::Answer) {
-        if answer.config.is_none() || self.size == 0.0 {
-            return self.deliver(vm, to, question, answer);
-        }
-        let transfer = links::Transfer {
-            to,
-            question,
-            answer,
-            left: self.size,
+        let to = world::index(fetch.member.address);
+        let size = match answer.config {
+            Some(_) => rate::Bytes(self.size as u64),
+            None => rate::Bytes(0),
         };
-        let link = &mut self.vms[vm].link;
-        link.begin(transfer, self.now);
-        self.most_sending = self.most_sending.max(link.sending());
-        self.send_next(vm);
+        let known = &mut self.vms[vm];
+        match known.state.admit(fetch, size, self.now) {
+            Ok(Some(ticket)) => {
+                let transfer = links::Transfer {
+                    to,
+                    question,
+                    answer,
+                    ticket,
+                    left: self.size,
+                };
+                known.link.begin(transfer, self.now);
+                return self.send_next(vm);
+            }
+            Ok(None) => {}
+            Err(elsewhere) => {
+                answer.config = None;
+                answer.registrations = None;
+                answer.elsewhere = Some(elsewhere);
+            }
+        }
+        self.deliver(vm, to, question, answer);
     }
 
     pub(super) fn send_next(&mut self, vm: usize) {
@@ -63,9 +62,9 @@
     }
 
     /// The VM that asked ends the connection.
-    pub(super) fn hang_up(&mut self, to: usize, vm: usize, question: u64) {
-        if self.vms[vm].link.abort(question, self.now) {
-            self.vms[vm].state.told(world::address(to), self.now);
+    pub(super) fn hang_up(&mut self, vm: usize, question: u64) {
+        if let Some(transfer) = self.vms[vm].link.abort(question, self.now) {
+            self.vms[vm].state.told(transfer.ticket, self.now);
             self.act(vm);
             self.send_next(vm);
         }
--- a/crates/geraniumgauge/src/spread/tests/world/links.rs
+++ b/crates/geraniumgauge/src/spread/tests/world/links.rs
@@ -31,6 +31,8 @@
     /// Its question.
     pub(crate) question: u64,
     pub(crate) answer: spread::Answer,
+    /// The part of the sender's link that it takes, by the sender's own count.
+    pub(crate) ticket: spread::Ticket,
     /// Bytes that are yet to be sent.
     pub(crate) left: f64,
 }
@@ -61,11 +63,6 @@
         time::Duration::from_secs_f64(bytes / self.rate)
     }
 
-    /// How many answers are under way.
-    pub(crate) fn sending(&self) -> usize {
-        self.sending.len()
-    }
-
     fn advance(&mut self, now: clock::Moment) {
         let moved = now.since(self.moved).as_secs_f64() * self.rate;
         let share = moved / self.sending.len().max(1) as f64;
@@ -81,13 +78,12 @@
         self.sending.push(transfer);
     }
 
-    /// Nobody waits for the answer any more; whether it was under way.
-    pub(crate) fn abort(&mut self, question: u64, now: clock::Moment) -> bool {
+    /// Nobody waits for the answer any more, which is given back if it was under way.
+    pub(crate) fn abort(&mut self, question: u64, now: clock::Moment) -> Option<Transfer> {
         self.advance(now);
-        let before = self.sending.len();
-        self.sending
-            .retain(|transfer| transfer.question != question);
-        self.sending.len() < before
+        let is_asked = |transfer: &Transfer| transfer.question == question;
+        let place = self.sending.iter().position(is_asked)?;
+        Some(self.sending.remove(place))
     }
 
     /// The answers that are sent, if nothing has changed since `turn`.
--- a/crates/geraniumgauge/src/spread/tests/world/mod.rs
+++ b/crates/geraniumgauge/src/spread/tests/world/mod.rs
@@ -64,7 +64,7 @@
     pub(crate) side: u8,
     start: u64,
     wake: Option<clock::Moment>,
-    pub(crate) link: links::Link,
+    link: links::Link,
     /// Questions that it waits for, whom they were put to, and when.
     questions: collections::BTreeMap<u64, (usize, clock::Moment)>,
     /// Its looks, the ones that failed included.
@@ -86,8 +86,6 @@
     pub(crate) patience: time::Duration,
     /// Bytes of a configuration.
     pub(crate) size: f64,
-    /// Most answers that one VM was sending at a time.
-    pub(crate) most_sending: usize,
     /// Looks, reads and writes of the directory, the ones that failed included.
     pub(crate) looks: u64,
     pub(crate) reads: u64,
@@ -127,7 +125,6 @@
             loss: 0.0,
             patience: READ,
             size: 0.0,
-            most_sending: 0,
             looks: 0,
             reads: 0,
             writes: 0,
@@ -318,12 +315,12 @@
                 if let Some((from, began)) = self.vms[vm].questions.remove(&question) {
                     let state = &mut self.vms[vm].state;
                     state.answered(address(from), None, now.since(began), now);
-                    self.hang_up(vm, from, question);
+                    self.hang_up(from, question);
                 }
             }
             Event::Sent(turn) => {
                 for transfer in self.vms[vm].link.sent(turn, now) {
-                    self.vms[vm].state.told(address(transfer.to), now);
+                    self.vms[vm].state.told(transfer.ticket, now);
                     self.deliver(vm, transfer.to, transfer.question, transfer.answer);
                 }
                 self.send_next(vm);
