Tests say what VMs tell in one place, and make bytes come slowly in one

Six tests spelled out the same summaries, updates and answers field by field; they take them from spread::tests::news and change what matters. Two tests built the same runtime, connection and slow sender, one for answers of VMs and one for the store's replies; both use trickle::send. Assertions as before.

--- a/crates/geraniumgauge/src/edge/tests/peers.rs
+++ b/crates/geraniumgauge/src/edge/tests/peers.rs
@@ -3,47 +3,21 @@
 use std::io;
 use std::time;
 
-use tokio::io::AsyncWriteExt as _;
-
 use crate::edge::frame;
 use crate::edge::peers;
 use crate::spread;
+use crate::spread::tests::news;
+use crate::trickle;
 
-/// Reads an answer with so many bytes of configuration, of which a piece comes
+/// Reads an answer with so many bytes of configuration, of which a tenth comes
 /// each `pause`, and none any more after `pieces`.
 fn read(size: usize, pieces: usize, pause: time::Duration) -> io::Result<spread::Answer> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build();
-    runtime.expect("a runtime").block_on(async {
-        let answer = spread::Answer {
-            summary: spread::Summary {
-                holds: spread::Holds::default(),
-                sure: false,
-                look: None,
-                vms: None,
-                members: 0,
-            },
-            records: Vec::new(),
-            config: Some("a".repeat(size)),
-            registrations: None,
-            elsewhere: None,
-        };
-        let bytes = frame::Frame::bytes(frame::Kind::Answer(answer.into()));
-        let (near, mut far) = tokio::io::duplex(1 << 20);
-        let send = async {
-            for piece in bytes.chunks(bytes.len() / 10).take(pieces) {
-                tokio::time::sleep(pause).await;
-                far.write_all(piece).await.expect("an open connection");
-            }
-            std::future::pending::<()>().await;
-        };
-        tokio::select! {
-            answer = peers::read_answer(near) => answer,
-            () = send => unreachable!("it waits for ever"),
-        }
-    })
+    let answer = spread::Answer {
+        config: Some("a".repeat(size)),
+        ..news::answer(news::nothing())
+    };
+    let bytes = frame::Frame::bytes(frame::Kind::Answer(answer.into()));
+    trickle::send(&bytes, pieces, pause, peers::read_answer)
 }
 
 /// Guards against an answer that is given up though it comes, since the link is
--- a/crates/geraniumgauge/src/h1/tests.rs
+++ b/crates/geraniumgauge/src/h1/tests.rs
@@ -127,36 +127,18 @@
     assert!(codec.decode_eof(&mut buffer).is_err());
 }
 
-/// The reply to a call of which a tenth comes each `pause`, and none any more
-/// after `pieces`.
+/// The length of a call's reply, of which a tenth comes each `pause`, and none any
+/// more after `pieces`.
 fn call(pieces: usize, pause: std::time::Duration) -> Result<usize, exchange::Failure> {
-    use tokio::io::AsyncWriteExt as _;
     const SIZE: usize = 100_000;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build();
-    runtime.expect("a runtime").block_on(async {
-        let (mut near, mut far) = tokio::io::duplex(1 << 20);
-        let reply = format!(
-            "HTTP/1.1 200 OK\r\nContent-Length: {SIZE}\r\n\r\n{}",
-            "a".repeat(SIZE)
-        );
-        let send = async {
-            for piece in reply.as_bytes().chunks(reply.len() / 10).take(pieces) {
-                tokio::time::sleep(pause).await;
-                far.write_all(piece).await.expect("an open connection");
-            }
-            std::future::pending::<()>().await;
-        };
+    let body = "a".repeat(SIZE);
+    let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {SIZE}\r\n\r\n{body}");
+    crate::trickle::send(reply.as_bytes(), pieces, pause, async |mut near| {
         let wait = std::time::Duration::from_millis(900);
         let heard = crate::time::Latest::default();
-        tokio::select! {
-            reply = exchange::exchange(&mut near, b"GET / HTTP/1.1\r\n\r\n", wait, NAMES, &heard) => {
-                reply.map(|(reply, _)| reply.body.len())
-            }
-            () = send => unreachable!("it waits for ever"),
-        }
+        let request = b"GET / HTTP/1.1\r\n\r\n";
+        let reply = exchange::exchange(&mut near, request, wait, NAMES, &heard).await;
+        reply.map(|(reply, _)| reply.body.len())
     })
 }
 
--- a/crates/geraniumgauge/src/lib.rs
+++ b/crates/geraniumgauge/src/lib.rs
@@ -38,5 +38,7 @@
 pub mod store;
 pub mod time;
 pub mod timer;
+#[cfg(test)]
+mod trickle;
 pub mod upstream;
 pub mod vm;
--- a/crates/geraniumgauge/src/spread/mod.rs
+++ b/crates/geraniumgauge/src/spread/mod.rs
@@ -10,7 +10,7 @@
 mod content;
 mod count;
 mod member;
-mod sending;
+pub(crate) mod sending;
 mod service;
 mod state;
 mod store;
@@ -52,4 +52,4 @@
 pub type Registrations = follow::News<registry::Entry>;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/geraniumgauge/src/spread/tests/large.rs
+++ b/crates/geraniumgauge/src/spread/tests/large.rs
@@ -5,6 +5,7 @@
 use crate::follow;
 use crate::ids;
 use crate::spread;
+use crate::spread::tests::news;
 use crate::spread::tests::world;
 use crate::spread::tests::world::SECOND;
 
@@ -75,25 +76,17 @@
 
 /// A VM tells of a newer configuration, and that the store is away.
 fn away(number: u64) -> spread::Datagram {
+    let holds = spread::Holds {
+        revision: Some(ids::Revision(99)),
+        digest: follow::Digest(5),
+        config: Some(ids::Revision(99)),
+    };
+    let summary = spread::Summary {
+        look: Some(news::look(number, time::Duration::ZERO)),
+        ..news::of(holds)
+    };
     spread::Datagram::Update(spread::Update {
-        vm: "vm-1".parse().expect("a name"),
-        summary: spread::Summary {
-            holds: spread::Holds {
-                revision: Some(ids::Revision(99)),
-                digest: follow::Digest(5),
-                config: Some(ids::Revision(99)),
-            },
-            sure: true,
-            look: Some(spread::Look {
-                vm: "vm-1".parse().expect("a name"),
-                number,
-                age: time::Duration::ZERO,
-            }),
-            vms: None,
-            members: 0,
-        },
         away: true,
-        pass: spread::Pass::None,
-        changes: None,
+        ..news::update("vm-1", summary)
     })
 }
--- a/crates/geraniumgauge/src/spread/tests/mod.rs
+++ b/crates/geraniumgauge/src/spread/tests/mod.rs
@@ -1,5 +1,6 @@
 mod large;
 mod member;
+pub(crate) mod news;
 mod sending;
 mod service;
 mod start;
--- a/crates/geraniumgauge/src/spread/tests/start.rs
+++ b/crates/geraniumgauge/src/spread/tests/start.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use crate::spread;
+use crate::spread::tests::news;
 use crate::spread::tests::world;
 use crate::spread::tests::world::SECOND;
 
@@ -156,30 +157,13 @@
     world.start(0);
     let now = world.now;
     let state = &mut world.vms[0].state;
-    let summary = spread::Summary {
-        holds: spread::Holds::default(),
-        sure: false,
-        look: None,
-        vms: None,
-        members: 0,
-    };
-    let mut answer = spread::Answer {
-        summary,
-        records: Vec::new(),
-        config: None,
-        registrations: None,
-        elsewhere: None,
-    };
+    let mut answer = news::answer(news::nothing());
     assert!(state.trusts(&answer, time::Duration::ZERO, now));
     // Nor does one of a VM that has just started, and took what it tells.
     answer.config = Some(String::new());
     assert!(state.trusts(&answer, time::Duration::ZERO, now));
     // A look of long ago does.
-    answer.summary.look = Some(spread::Look {
-        vm: "vm-1".parse().expect("a name"),
-        number: 9,
-        age: 3 * world::PERIOD,
-    });
+    answer.summary.look = Some(news::look(9, 3 * world::PERIOD));
     assert!(!state.trusts(&answer, time::Duration::ZERO, now));
 }
 
@@ -259,19 +243,7 @@
         "10.0.0.1:7000"
     };
     let there = there.parse().expect("an address");
-    let update = spread::Update {
-        vm: "vm-x".parse().expect("a name"),
-        summary: spread::Summary {
-            holds: world.store,
-            sure: true,
-            look: None,
-            vms: None,
-            members: 0,
-        },
-        away: false,
-        pass: spread::Pass::None,
-        changes: None,
-    };
+    let update = news::update("vm-x", news::of(world.store));
     let state = &mut world.vms[0].state;
     state.heard(there, spread::Datagram::Update(update), now);
     let then = state.tick(now);
--- a/crates/geraniumgauge/src/spread/tests/state.rs
+++ b/crates/geraniumgauge/src/spread/tests/state.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use crate::spread;
+use crate::spread::tests::news;
 use crate::spread::tests::world;
 use crate::spread::tests::world::SECOND;
 
@@ -114,18 +115,13 @@
     let reads = |vm: &world::Vm| vm.state.duty(now).is_some();
     let reader = world.vms.iter().position(reads).expect("a VM that reads");
     let state = &mut world.vms[reader].state;
+    let summary = spread::Summary {
+        members: state.members().digest(),
+        ..news::of(state.holds())
+    };
     let away = spread::Update {
-        vm: "vm-20".parse().expect("a name"),
-        summary: spread::Summary {
-            holds: state.holds(),
-            sure: true,
-            look: None,
-            vms: None,
-            members: state.members().digest(),
-        },
         away: true,
-        pass: spread::Pass::None,
-        changes: None,
+        ..news::update("vm-20", summary)
     };
     let from = "10.0.0.20:7000".parse().expect("an address");
     state.heard(from, spread::Datagram::Update(away), now);
@@ -209,23 +205,12 @@
     let now = world.now;
     let fresh = state.age(now).expect("it heard of looks");
     let update = |number, age| {
-        spread::Datagram::Update(spread::Update {
-            vm: "vm-1".parse().expect("a name"),
-            summary: spread::Summary {
-                holds: state.holds(),
-                sure: true,
-                look: Some(spread::Look {
-                    vm: "vm-1".parse().expect("a name"),
-                    number,
-                    age,
-                }),
-                vms: None,
-                members: state.members().digest(),
-            },
-            away: false,
-            pass: spread::Pass::None,
-            changes: None,
-        })
+        let summary = spread::Summary {
+            look: Some(news::look(number, age)),
+            members: state.members().digest(),
+            ..news::of(state.holds())
+        };
+        spread::Datagram::Update(news::update("vm-1", summary))
     };
     let (old, new) = (
         update(5, time::Duration::ZERO),
--- a/crates/geraniumgauge/src/spread/tests/world/mod.rs
+++ b/crates/geraniumgauge/src/spread/tests/world/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod links;
+mod power;
 
 use std::collections;
 use std::net;
@@ -166,39 +167,6 @@
         spread::State::new(own, PERIOD, self.seeds.clone(), link, seed, self.now)
     }
 
-    /// Gives power to a VM; it starts anew.
-    pub(crate) fn start(&mut self, vm: usize) {
-        let start = self.vms[vm].start + 1;
-        let state = self.state(vm, start);
-        let known = &mut self.vms[vm];
-        known.state = state;
-        known.start = start;
-        known.on = true;
-        known.wake = None;
-        known.view = None;
-        known.link = links::Link::new(links::rate(vm));
-        known.questions.clear();
-        self.wake(vm, self.now);
-    }
-
-    /// Starts all VMs within 0.3 s.
-    pub(crate) fn start_all(&mut self) {
-        let begin = self.now;
-        let mut order: Vec<(u64, usize)> = (0..self.vms.len())
-            .map(|vm| (self.rng.random_range(0..300_000), vm))
-            .collect();
-        order.sort_unstable();
-        for (after, vm) in order {
-            self.run_until(begin + time::Duration::from_micros(after));
-            self.start(vm);
-        }
-    }
-
-    /// Takes power from a VM.
-    pub(crate) fn stop(&mut self, vm: usize) {
-        self.vms[vm].on = false;
-    }
-
     /// The operators change the configuration, and upstreams register.
     pub(crate) fn change(&mut self) {
         let revision = self.store.revision.map_or(1, |revision| revision.0 + 1);
