Read-through of the spread: one piece where there were two, nothing done twice

Cause: what reading the change once more showed. 'A moment so long before another' was written out in four places, quarantine's among them: Moment::before. The longest wait for an answer stood with the asker and with the sender: one constant. An answer was weighed by a call that also did all that was due, right before the next one did it again: it only weighs now. Links in the documentation of actions led nowhere since they were moved.

Behaviour as before.

--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -19,6 +19,7 @@
 use crate::edge::link;
 use crate::edge::sender;
 use crate::spread;
+use crate::spread::sending;
 
 /// Pause before a VM is connected to again.
 const RETRY: time::Duration = time::Duration::from_millis(800);
@@ -29,8 +30,6 @@
 /// Longest silence before and within the answer to a question. Not the longest
 /// answer: a large one takes a narrow link for a while.
 const SILENCE: time::Duration = time::Duration::from_millis(1000);
-/// Longest wait for a whole answer.
-const ANSWER: time::Duration = time::Duration::from_secs(5);
 /// Room for what is read of an answer at a time.
 const BUFFER: usize = 16 << 10;
 
@@ -131,7 +130,7 @@
         stream.write_all(&bytes).await?;
         read_answer(stream).await
     };
-    let answer = tokio::time::timeout(ANSWER, asked).await;
+    let answer = tokio::time::timeout(sending::LONGEST, asked).await;
     answer.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
 
--- a/crates/geraniumgauge/src/quarantine/book.rs
+++ b/crates/geraniumgauge/src/quarantine/book.rs
@@ -200,11 +200,11 @@
             if age >= DOWN_FOR {
                 continue;
             }
-            let lost = now.moment.0.saturating_sub(clock::micros(age));
+            let lost = now.moment.before(age);
             let named = mark.crashed.iter().chain(&mark.lost);
             down.extend(named.map(|upstream| Down {
                 upstream: upstream.clone(),
-                lost: clock::Moment(lost),
+                lost,
             }));
         }
         down
--- a/crates/geraniumgauge/src/registry/mod.rs
+++ b/crates/geraniumgauge/src/registry/mod.rs
@@ -206,8 +206,7 @@
         if known.vanished.is_some() {
             return None;
         }
-        let since = now.0.saturating_sub(clock::micros(lag));
-        known.vanished = Some(clock::Moment(since));
+        known.vanished = Some(now.before(lag));
         Some(Change::Vanished(handle))
     }
 
--- a/crates/geraniumgauge/src/spread/content.rs
+++ b/crates/geraniumgauge/src/spread/content.rs
@@ -97,7 +97,8 @@
         answer: &mut spread::Answer,
         took: time::Duration,
     ) {
-        if !self.handle(|state, now| state.trusts(answer, took, now)) {
+        let now = self.clock().now();
+        if !self.0.state.borrow_mut().trusts(answer, took, now) {
             answer.config = None;
             answer.registrations = None;
             return;
--- a/crates/geraniumgauge/src/spread/sending.rs
+++ b/crates/geraniumgauge/src/spread/sending.rs
@@ -16,8 +16,8 @@
 const BACKLOG: time::Duration = time::Duration::from_millis(400);
 /// Largest answer that is always sent, such as a few changes.
 const SMALL: rate::Bytes = rate::Bytes(16 << 10);
-/// How long an answer counts as under way at most: whoever asked is gone.
-const LONGEST: time::Duration = time::Duration::from_secs(5);
+/// Longest wait for a whole answer. Whoever asked is gone after that.
+pub(crate) const LONGEST: time::Duration = time::Duration::from_secs(5);
 /// Head start of those who tell more VMs: all hear of a change within this.
 const HEAD_START: time::Duration = time::Duration::from_millis(50);
 /// VMs that are remembered as waiting.
--- a/crates/geraniumgauge/src/spread/state/action.rs
+++ b/crates/geraniumgauge/src/spread/state/action.rs
@@ -14,18 +14,18 @@
         /// What it says.
         datagram: spread::Datagram,
     },
-    /// Ask another VM; [`State::answered`] takes the answer.
+    /// Ask another VM; [`spread::State::answered`] takes the answer.
     Fetch {
         /// Which one.
         from: net::SocketAddr,
         /// What for.
         fetch: spread::Fetch,
     },
-    /// Look at the store; [`State::looked`] takes the outcome.
+    /// Look at the store; [`spread::State::looked`] takes the outcome.
     Look,
-    /// Read the directory; [`State::listed`] takes it.
+    /// Read the directory; [`spread::State::listed`] takes it.
     ReadDirectory,
-    /// Write a page of the directory; [`State::written`] takes the outcome.
+    /// Write a page of the directory; [`spread::State::written`] takes the outcome.
     WriteDirectory {
         /// Which page.
         page: usize,
--- a/crates/geraniumgauge/src/spread/state/look.rs
+++ b/crates/geraniumgauge/src/spread/state/look.rs
@@ -4,7 +4,6 @@
 
 use rand::Rng as _;
 
-use crate::ids;
 use crate::spread;
 use crate::spread::state;
 use crate::time as clock;
@@ -14,17 +13,13 @@
 const STEP: f64 = 1.0 / 24.0;
 /// Parts of the look period after which the other VMs look for themselves, drawn
 /// anew each time, so that the first of them can tell the rest.
-const ALONE: std::ops::Range<f64> = 1.4..1.8;
+pub(super) const ALONE: std::ops::Range<f64> = 1.4..1.8;
 /// The same while a fleet starts for the first time: those that look for all
 /// begin within it.
 const ALONE_AT_FIRST: std::ops::Range<f64> = 1.4..2.6;
-/// Parts of the look period after which a VM looks for itself whose turn to be
-/// answered doesn't come: what is left until a change must be in force is for the
-/// look.
-const IN_TURN: f64 = 1.95;
 /// How long a look may be without a sign of the store before it is said to be
 /// away. The others must hear of it before they look for themselves.
-const DOUBT: time::Duration = time::Duration::from_millis(300);
+pub(super) const DOUBT: time::Duration = time::Duration::from_millis(300);
 /// Part of the look period after which a store without a configuration is looked
 /// at again: it may have one any moment.
 const UNCONFIGURED: f64 = 1.0 / 3.0;
@@ -32,8 +27,6 @@
 const SILENCE: u32 = 3;
 /// Look periods between two looks at the most, while the store can be read.
 const LONGEST_LAG: u32 = 2;
-/// Part of the look period in which another VM is to answer.
-const ANSWER: f64 = 0.25;
 /// Time that one VM's look takes until the others hear of it. VMs that start
 /// together look that far apart, on average.
 const APART: time::Duration = time::Duration::from_millis(4);
@@ -43,10 +36,6 @@
 /// The same in a fleet that starts for the first time, where VMs have yet to find
 /// each other.
 const FIRST_WAIT: f64 = 1.0;
-/// Look periods for which a VM relies on others' word that the store is away, since
-/// a look that it holds or failed to make. The store may serve this VM and not
-/// those it hears; drawn, so that not all try at once.
-const RELIANCE: std::ops::Range<f64> = 6.0..8.0;
 /// Tries a second of all VMs that don't look for all, while the store is away.
 const TRIES: f64 = 2.0;
 
@@ -105,7 +94,7 @@
 
     /// The last sign of the store while this VM looks; where there is none, when it
     /// began.
-    fn look_sign(&self) -> Option<clock::Moment> {
+    pub(super) fn look_sign(&self) -> Option<clock::Moment> {
         self.busy
             .look
             .map(|began| began.max(self.busy.heard.unwrap_or(began)))
@@ -114,7 +103,7 @@
     /// Bytes of the store came `age` ago, while this VM may be looking: a large
     /// reply over a narrow link is no outage.
     pub fn look_heard(&mut self, age: time::Duration, now: clock::Moment) {
-        self.busy.heard = Some(clock::Moment(now.0.saturating_sub(clock::micros(age))));
+        self.busy.heard = Some(now.before(age));
     }
 
     pub(super) fn doubt_if_due(&mut self, now: clock::Moment) {
@@ -221,69 +210,16 @@
         self.away || lag >= self.period * LONGEST_LAG
     }
 
-    /// Another VM says that the store is away. That is no proof that this one
-    /// can't read it: what is known to be lacking, or was last seen long ago, is
-    /// looked for all the same.
-    pub(super) fn hear_away(&mut self, teller: &ids::Vm, now: clock::Moment) {
-        let age_ms = self.age(now).map(clock::millis);
-        if !self.away {
-            log::info!(age_ms:? = age_ms, teller:% = teller; "another VM can't read the store");
-            self.draw_try(now);
-        }
-        self.away = true;
-        if self.is_behind() {
-            return;
-        }
-        let before = self.look_at;
-        self.postpone(now);
-        self.look_at = self.look_at.min(self.rely_until);
-        if now.since(self.looked_at()) >= self.period.mul_f64(ALONE.end) {
-            log::info!(
-                age_ms:? = age_ms, teller:% = teller, failures = self.failures,
-                due_before_ms = clock::millis(now.until(before)),
-                due_ms = clock::millis(now.until(self.look_at));
-                "own look put off"
-            );
-        }
-    }
-
-    /// Whether this VM knows that others hold something newer.
-    pub(super) fn is_behind(&self) -> bool {
-        let told = self.heard_of.as_ref();
-        told.is_some_and(|(holds, sure)| self.lacks(holds, *sure))
-    }
-
-    /// This VM learns that others hold something newer: whatever had put its own
-    /// look off, it is due as if nothing had been heard since the latest one.
-    pub(super) fn fall_behind(&mut self, now: clock::Moment) {
-        let before = self.look_at;
-        self.draw_look(self.looked_at(), now);
-        self.look_at = self.look_at.min(before);
-        self.await_answer(now);
-    }
-
-    /// When the latest look was made that this VM holds; its start, where it holds
-    /// none.
-    fn looked_at(&self) -> clock::Moment {
-        let latest = self.latest.as_ref();
-        latest.map_or(self.started, |latest| latest.at)
-    }
-
-    /// Draws how long this VM relies on others, from `since`.
-    fn draw_reliance(&mut self, since: clock::Moment) {
-        self.rely_until = since + self.part(RELIANCE);
-    }
-
     /// Draws when this VM tries a store that is away, so that all of them
     /// together make a few tries a second.
-    fn draw_try(&mut self, now: clock::Moment) {
+    pub(super) fn draw_try(&mut self, now: clock::Moment) {
         let vms = self.vms(now).unwrap_or(self.members.count()) as f64;
         let wait = self.rng.random_range(0.0..2.0 * vms / TRIES);
         self.try_at = now + time::Duration::from_secs_f64(wait);
     }
 
     /// Draws when this VM looks for itself, if nothing is heard after `since`.
-    fn draw_look(&mut self, since: clock::Moment, now: clock::Moment) {
+    pub(super) fn draw_look(&mut self, since: clock::Moment, now: clock::Moment) {
         let alone = if self.vms(now).is_none() {
             ALONE_AT_FIRST
         } else {
@@ -292,36 +228,6 @@
         self.look_at = since + self.part(alone);
     }
 
-    /// Relies on others for a while; one that knows nothing goes on asking them.
-    fn postpone(&mut self, now: clock::Moment) {
-        self.draw_look(now, now);
-        if !self.knows_nothing() {
-            self.draw_ask(now);
-        }
-    }
-
-    /// Another VM has looked, and is asked what it saw: this one waits for the
-    /// answer, but not for long.
-    pub(super) fn await_answer(&mut self, now: clock::Moment) {
-        self.wait_for_answer(ALONE.end, now);
-    }
-
-    /// The same where the answer has to wait for others'.
-    pub(super) fn await_turn(&mut self, now: clock::Moment) {
-        self.wait_for_answer(IN_TURN, now);
-    }
-
-    /// Puts the look off for an answer, but no later than so many look periods
-    /// after the latest one.
-    fn wait_for_answer(&mut self, periods: f64, now: clock::Moment) {
-        if self.must_look {
-            return;
-        }
-        let last = self.looked_at() + self.period.mul_f64(periods);
-        let answered = now + self.period.mul_f64(ANSWER);
-        self.look_at = self.look_at.max(answered.min(last));
-    }
-
     /// Takes a look that what this VM holds includes.
     pub(super) fn take_look(&mut self, look: &spread::Look, now: clock::Moment) {
         self.members.looked(&look.vm, now);
@@ -332,7 +238,7 @@
             return;
         }
         self.numbers.insert(look.vm.clone(), look.number);
-        let at = clock::Moment(now.0.saturating_sub(clock::micros(look.age)));
+        let at = now.before(look.age);
         if self.latest.as_ref().is_some_and(|latest| latest.at >= at) {
             return;
         }
@@ -348,33 +254,6 @@
         self.draw_ask(at);
     }
 
-    /// Whether this VM takes what another one has told after `took`. One that knows
-    /// nothing yet serves by what it takes first: it looks itself rather than rely
-    /// on a look of long ago, unless the store doesn't answer.
-    pub fn trusts(
-        &mut self,
-        answer: &spread::Answer,
-        took: time::Duration,
-        now: clock::Moment,
-    ) -> bool {
-        if answer.config.is_none() && answer.registrations.is_none() {
-            return true;
-        }
-        let age = answer.summary.look.as_ref().map(|look| look.age + took);
-        // A VM that holds something and no look has just started itself.
-        let fresh = age.is_none_or(|age| age < self.period.mul_f64(ALONE.end));
-        let sign = self.look_sign();
-        let silent = self.failures > 0 || sign.is_some_and(|sign| now.since(sign) >= DOUBT);
-        if fresh || silent || !self.knows_nothing() {
-            return true;
-        }
-        log::info!(age_ms:? = age.map(clock::millis); "another VM's news are too old to start with");
-        self.drawn = true;
-        self.must_look = true;
-        self.look_at = now;
-        false
-    }
-
     /// The latest look as it is told to others.
     pub(super) fn look(&self, now: clock::Moment) -> Option<spread::Look> {
         self.latest.as_ref().map(|latest| spread::Look {
--- a/crates/geraniumgauge/src/spread/state/mod.rs
+++ b/crates/geraniumgauge/src/spread/state/mod.rs
@@ -14,6 +14,7 @@
 mod ask;
 mod directory;
 mod look;
+mod rely;
 mod tell;
 
 pub use action::Action;
@@ -40,9 +41,6 @@
 /// How long it waits for another VM's answer, where it has the directory: one
 /// that is up mostly answers sooner, and one without power never.
 const PEERS: time::Duration = time::Duration::from_millis(15);
-/// VMs that are told of a configuration by one that has got it, where its link
-/// is among the least, and where it isn't.
-const OFFERS: (usize, usize) = (2, 8);
 /// Look periods in which VMs that start for the first time find each other.
 const SETTLE: u32 = 2;
 
@@ -283,13 +281,7 @@
         self.sure = sure;
         if news {
             self.sending.renew(now);
-            let own = self.members.own();
-            let count = if self.is_least(own) {
-                OFFERS.0
-            } else {
-                OFFERS.1
-            };
-            self.offer(count, now);
+            self.offer_news(now);
         }
     }
 
@@ -328,18 +320,6 @@
         }
     }
 
-    /// Whether another VM's news show what this VM lacks, which it remembers then.
-    fn note_lack(&mut self, summary: &spread::Summary, now: clock::Moment) -> bool {
-        let lacks = self.lacks(&summary.holds, summary.sure);
-        if lacks {
-            if !self.is_behind() {
-                self.fall_behind(now);
-            }
-            self.heard_of = Some((summary.holds, summary.sure));
-        }
-        lacks
-    }
-
     /// How many VMs there are, this one included; `None` where this VM can't
     /// tell yet.
     pub fn vms(&self, now: clock::Moment) -> Option<usize> {
--- a/crates/geraniumgauge/src/spread/state/tell.rs
+++ b/crates/geraniumgauge/src/spread/state/tell.rs
@@ -16,6 +16,9 @@
 /// Part of the look period after which the second VM of a data centre takes an
 /// update that the first one should have passed on.
 const SECOND: f64 = 1.0 / 16.0;
+/// VMs that are told of a configuration by one that has got it, where its link
+/// is among the least, and where it isn't.
+const OFFERS: (usize, usize) = (2, 8);
 /// Part of the look period in which news of the fleet gather for one update.
 const GATHER: f64 = 1.0 / 8.0;
 
@@ -138,6 +141,13 @@
         self.send(to, update, spread::Pass::None);
     }
 
+    /// Tells of a configuration that this VM has just got.
+    pub(super) fn offer_news(&mut self, now: clock::Moment) {
+        let is_least = self.is_least(self.members.own());
+        let count = if is_least { OFFERS.0 } else { OFFERS.1 };
+        self.offer(count, now);
+    }
+
     /// Tells some VMs nearby that this one has a configuration that they may wait
     /// for, and room on its link.
     pub(super) fn offer(&mut self, count: usize, now: clock::Moment) {
--- a/crates/geraniumgauge/src/time.rs
+++ b/crates/geraniumgauge/src/time.rs
@@ -26,6 +26,11 @@
         time::Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// The point `span` before this one; the process's start, where that is later.
+    pub fn before(self, span: time::Duration) -> Self {
+        Self(self.0.saturating_sub(micros(span)))
+    }
+
     /// Time left until `later`; zero where it has passed.
     pub fn until(self, later: Self) -> time::Duration {
         later.since(self)
