Log why shards are missing, why a trial was denied and how members change

Two questions about known failures could not be answered from the logs: of a shard missing as unreachable, which calls were made and what each replica was to this VM; of one missing as quarantined, which upstreams were lost and why no trial ran. One line for each incomplete answer now says both, each mark names its lost upstreams, homes log when an upstream becomes down or open, and the membership logs each change of the view. The stand-ins print them with time and VM, and the scenario together prints its faults.

--- a/crates/geraniumgauge/src/home/state/availability.rs
+++ b/crates/geraniumgauge/src/home/state/availability.rs
@@ -20,7 +20,9 @@
 
 /// Whether calls may be sent to the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Availability {
+#[derive(derive_more::Display)]
+#[display(rename_all = "lowercase")]
+pub enum Availability {
     /// The upstream takes work.
     Open,
     /// Uncertain: one call at a time is sent until one succeeds.
--- a/crates/geraniumgauge/src/home/state/mod.rs
+++ b/crates/geraniumgauge/src/home/state/mod.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod running;
 
+pub use availability::Availability;
 pub use connections::Id as ConnectionId;
 pub use home_limits::Limits;
 pub use job::Answer;
@@ -252,6 +253,11 @@
         &self.upstream
     }
 
+    /// Returns whether the upstream takes work.
+    pub fn availability(&self) -> Availability {
+        self.availability.current()
+    }
+
     /// Returns this VM's role for the upstream.
     pub fn role(&self) -> Option<placement::Role> {
         self.role
--- a/crates/geraniumgauge/src/home/worker.rs
+++ b/crates/geraniumgauge/src/home/worker.rs
@@ -129,7 +129,13 @@
     pub(super) fn handle(&self, event: state::Event) {
         let now = self.context.clock.now();
         let mut inner = self.lock();
+        let before = inner.state.availability();
         let actions = inner.state.handle(event, now);
+        let after = inner.state.availability();
+        if after != before {
+            let upstream = &inner.state.upstream().id;
+            log::info!("upstream {upstream} is now {after}, was {before}");
+        }
         for action in actions {
             self.perform(&mut inner, action, now);
         }
--- a/crates/geraniumgauge/src/ledger/admission.rs
+++ b/crates/geraniumgauge/src/ledger/admission.rs
@@ -32,7 +32,7 @@
             quarantine::Verdict::Suspect => match self.trial(service, fingerprint, None).await {
                 Ok(trial) => Ok(Some(trial)),
                 Err(quarantine::Denied::Quarantined) => Err(quarantined()),
-                Err(quarantine::Denied::Later { after }) => {
+                Err(quarantine::Denied::Later { after, .. }) => {
                     let text = "the record may crash upstreams and must wait for an isolated trial";
                     let refusal = query::Refusal::not_run(query::Code::Unavailable, text);
                     Err(refusal.retry_after(after))
--- a/crates/geraniumgauge/src/member/service.rs
+++ b/crates/geraniumgauge/src/member/service.rs
@@ -37,6 +37,9 @@
 /// Reads of the platform's list per second by all VMs together.
 const LIST_READS_PER_SECOND: f64 = 10.0;
 
+/// Maximum number of members whose change is logged for one view.
+const MAX_LOGGED_CHANGES: usize = 16;
+
 /// Shortest interval between two successful reads of the list by one VM.
 const MIN_LIST_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
@@ -242,7 +245,10 @@
                     log::debug!("membership: failed to send a datagram to {to}: {error}");
                 }
             }
-            state::Action::View(view) => drop(self.view.send_replace(view)),
+            state::Action::View(view) => {
+                log_changes(&self.view.borrow(), &view);
+                drop(self.view.send_replace(view));
+            }
             state::Action::Received(update) => self.deliver(update),
             state::Action::Announced => {
                 for done in self.leave_waiters.drain(..) {
@@ -267,6 +273,24 @@
     }
 }
 
+/// Logs which members came, changed their state or are gone.
+fn log_changes(before: &member::View, now: &member::View) {
+    let state = |view: &member::View, vm| view.get(vm).map(|member| member.state);
+    let all = now.members.iter().chain(&before.members);
+    let vms: collections::BTreeSet<_> = all.map(|member| &member.vm).collect();
+    let changed = vms
+        .iter()
+        .map(|vm| (vm, state(before, vm), state(now, vm)))
+        .filter(|(_, before, now)| before != now);
+    for (vm, before, now) in changed.take(MAX_LOGGED_CHANGES) {
+        let name = |state: Option<member::State>| {
+            state.map_or_else(|| "no member".to_owned(), |state| state.to_string())
+        };
+        let (before, now) = (name(before), name(now));
+        log::info!("membership: VM {vm} is now {now}, was {before}");
+    }
+}
+
 /// Reads the platform's list at the start and then at an interval that grows with
 /// the number of VMs, so that all together stay within [`LIST_READS_PER_SECOND`].
 async fn read_list(service: Service, store: sync::Arc<dyn store::Api>, timer: timer::Service) {
--- a/crates/geraniumgauge/src/quarantine/claim.rs
+++ b/crates/geraniumgauge/src/quarantine/claim.rs
@@ -24,8 +24,10 @@
 #[derive(derive_more::Display, derive_more::Error)]
 pub enum Denied {
     /// Another attempt may succeed later.
-    #[display("no trial may start for {} ms", after.as_millis())]
+    #[display("no trial may start for {} ms: {delay}", after.as_millis())]
     Later {
+        /// What the trial must wait for.
+        delay: Delay,
         /// Time to wait before the next attempt.
         after: time::Duration,
     },
@@ -34,6 +36,24 @@
     Quarantined,
 }
 
+/// What a trial must wait for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Display)]
+pub enum Delay {
+    /// Every VM must have received the mark.
+    #[display("the mark is still spreading")]
+    Spreading,
+    /// Another upstream has just been lost.
+    #[display("another upstream was just lost")]
+    RecentLoss,
+    /// Another trial of the request, or one at a replica of the same shard, runs.
+    #[display("a conflicting trial runs")]
+    Conflict,
+    /// The store is unavailable or its object changes too often.
+    #[display("the store took no claim")]
+    Store,
+}
+
 /// The right to run one isolated trial. If it is dropped before [`Self::begin`],
 /// the claim is released. If it is dropped afterwards and without
 /// [`Self::finish`], the outcome is unknown: the claim lapses and counts as a crash.
@@ -62,7 +82,7 @@
         let check = self
             .tracker()
             .check_trial_start(service, fingerprint, self.now());
-        check.map_err(|after| Denied::Later { after })?;
+        check.map_err(|(delay, after)| Denied::Later { delay, after })?;
         let claim = trial::Claim {
             fingerprint,
             vm: self.inner.config.vm.clone(),
@@ -86,7 +106,7 @@
                 });
             }
         }
-        Err(Denied::Later { after: RETRY_DELAY })
+        Err(retry_later(Delay::Store))
     }
 
     /// Makes one attempt to write the claim. Returns false if the write conflicted
@@ -96,8 +116,8 @@
         service: &ids::Service,
         claim: &trial::Claim,
     ) -> Result<bool, Denied> {
-        let retry_later = || Denied::Later { after: RETRY_DELAY };
-        let (ledger, condition) = self.fetch(service).await.map_err(|_| retry_later())?;
+        let fetched = self.fetch(service).await;
+        let (ledger, condition) = fetched.map_err(|_| retry_later(Delay::Store))?;
         self.receive_ledger(&ledger);
         if ledger.claims.contains(claim) {
             return Ok(true);
@@ -110,18 +130,25 @@
         let (next, granted) = match ledger.start(claim, wall) {
             trial::Start::Granted(next) => (next, true),
             trial::Start::Quarantined(next) => (next, false),
-            trial::Start::Busy => return Err(retry_later()),
+            trial::Start::Busy => return Err(retry_later(Delay::Conflict)),
         };
         self.receive_ledger(&next);
         match self.put(service, &next, condition).await {
             Ok(()) if granted => Ok(true),
             Ok(()) => Err(Denied::Quarantined),
             Err(store::Error::Conflict { .. } | store::Error::Unconfirmed { .. }) => Ok(false),
-            Err(_) => Err(retry_later()),
+            Err(_) => Err(retry_later(Delay::Store)),
         }
     }
 }
 
+fn retry_later(delay: Delay) -> Denied {
+    Denied::Later {
+        delay,
+        after: RETRY_DELAY,
+    }
+}
+
 impl Trial {
     /// Records that the request is about to be sent.
     pub fn begin(&mut self) {
--- a/crates/geraniumgauge/src/quarantine/mark.rs
+++ b/crates/geraniumgauge/src/quarantine/mark.rs
@@ -104,3 +104,9 @@
         list.push(upstream.clone());
     }
 }
+
+/// Returns the names of a mark's upstreams, separated by spaces.
+pub(super) fn names(upstreams: &[ids::Upstream]) -> String {
+    let names: Vec<&str> = upstreams.iter().map(ids::Upstream::as_str).collect();
+    names.join(" ")
+}
--- a/crates/geraniumgauge/src/quarantine/mod.rs
+++ b/crates/geraniumgauge/src/quarantine/mod.rs
@@ -18,6 +18,7 @@
 mod tests;
 
 pub use broadcast::Broadcast;
+pub use claim::Delay;
 pub use claim::Denied;
 pub use claim::Trial;
 pub use mark::Mark;
--- a/crates/geraniumgauge/src/quarantine/service.rs
+++ b/crates/geraniumgauge/src/quarantine/service.rs
@@ -12,6 +12,7 @@
 use crate::member;
 use crate::mesh::message;
 use crate::quarantine;
+use crate::quarantine::mark;
 use crate::quarantine::persist;
 use crate::quarantine::tracker;
 use crate::quarantine::trial;
@@ -199,6 +200,9 @@
         let state = KeyValue::new("state", mark.state.to_string());
         self.inner.published.add(1, &[state]);
         log::warn!(
+            crashed = mark::names(&mark.crashed),
+            lost = mark::names(&mark.lost),
+            since_ms = clock::millis(self.inner.clock.wall().since(mark.since));
             "request {} of service {} is now {}",
             mark.fingerprint,
             mark.service,
--- a/crates/geraniumgauge/src/quarantine/tests/simulation/coordinators.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/simulation/coordinators.rs
@@ -59,7 +59,7 @@
             self.coordinators[coordinator]
                 .tracker
                 .check_trial_start(&service(), fingerprint, now);
-        if let Err(after) = check {
+        if let Err((_, after)) = check {
             self.handle(search, gather::Event::Denied(Some(after)));
             return;
         }
--- a/crates/geraniumgauge/src/quarantine/tracker.rs
+++ b/crates/geraniumgauge/src/quarantine/tracker.rs
@@ -178,24 +178,24 @@
     /// request could be quarantined for losses that it didn't cause.
     ///
     /// # Errors
-    /// Returns the time to wait before the next check.
+    /// Returns the reason to wait, and the time until the next check.
     pub fn check_trial_start(
         &self,
         service: &ids::Service,
         fingerprint: ids::Fingerprint,
         now: Now,
-    ) -> Result<(), time::Duration> {
+    ) -> Result<(), (quarantine::Delay, time::Duration)> {
         let Some(mark) = self.marks.get(&(service.clone(), fingerprint)) else {
             return Ok(());
         };
         let earliest = mark.since + TRIAL_DELAY_AFTER_SUSPICION;
         if earliest.since(now.wall) > time::Duration::ZERO {
-            return Err(earliest.since(now.wall));
+            return Err((quarantine::Delay::Spreading, earliest.since(now.wall)));
         }
         let others = self.losses.iter().filter(|(_, up)| !mark.lists(up));
         let last = others.map(|(at, _)| *at).max();
         match last.map(|at| now.moment.until(at + TRIAL_DELAY_AFTER_LOSS)) {
-            Some(left) if left > time::Duration::ZERO => Err(left),
+            Some(left) if left > time::Duration::ZERO => Err((quarantine::Delay::RecentLoss, left)),
             _ => Ok(()),
         }
     }
--- a/crates/geraniumgauge/src/query/admit.rs
+++ b/crates/geraniumgauge/src/query/admit.rs
@@ -100,7 +100,7 @@
             number,
             inbox,
             sender,
-            trial: None,
+            trial: task::Trial::default(),
             load: admission::Load::Free,
         })
     }
--- a/crates/geraniumgauge/src/query/gather/attempt.rs
+++ b/crates/geraniumgauge/src/query/gather/attempt.rs
@@ -3,6 +3,13 @@
 use crate::mesh::message;
 use crate::time as clock;
 
+/// The end of a failed call.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Failure {
+    pub(super) outcome: message::Outcome,
+    pub(super) at: clock::Moment,
+}
+
 /// A call of one shard at one replica.
 #[derive(Debug, Clone)]
 pub(super) struct Attempt {
@@ -18,6 +25,8 @@
     pub(super) kind: message::Kind,
     /// Set once it has ended; later replies are dropped.
     pub(super) ended: bool,
+    /// How it failed, if it did.
+    pub(super) failure: Option<Failure>,
     /// Set when this search cancelled it and no reply has arrived since. It may
     /// have crashed its upstream before the cancel took effect.
     pub(super) cancel_unconfirmed: bool,
--- a/crates/geraniumgauge/src/query/gather/calls.rs
+++ b/crates/geraniumgauge/src/query/gather/calls.rs
@@ -120,6 +120,7 @@
             sent: now,
             kind,
             ended: false,
+            failure: None,
             cancel_unconfirmed: false,
         });
         self.open_calls += 1;
--- a/crates/geraniumgauge/src/query/gather/fail.rs
+++ b/crates/geraniumgauge/src/query/gather/fail.rs
@@ -7,6 +7,7 @@
 use super::Gather;
 use super::Phase;
 use super::Timer;
+use super::attempt;
 use super::slot;
 use crate::ids;
 use crate::mesh::message;
@@ -180,6 +181,7 @@
         let replica = self.plan.replica(called.replica);
         replica.stats.record_failure(outcome, retry_after, now);
         let upstream = replica.id.clone();
+        self.attempts[attempt as usize].failure = Some(attempt::Failure { outcome, at: now });
         self.end(attempt);
         if matches!(outcome, Outcome::Shed | Outcome::Late) {
             self.counts.overloads += 1;
--- a/crates/geraniumgauge/src/query/gather/mod.rs
+++ b/crates/geraniumgauge/src/query/gather/mod.rs
@@ -16,6 +16,7 @@
 mod restart;
 mod slot;
 mod suspect;
+mod trace;
 
 #[cfg(test)]
 mod tests;
@@ -25,6 +26,7 @@
 pub use event::Event;
 pub use event::Setup;
 pub use event::SoftDeadline;
+pub use trace::Trace;
 
 use std::cmp;
 use std::collections;
--- a/crates/geraniumgauge/src/query/gather/slot.rs
+++ b/crates/geraniumgauge/src/query/gather/slot.rs
@@ -53,6 +53,23 @@
     GivenUp,
 }
 
+impl State {
+    /// Returns the state's name, for the log.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Unsent => "unsent",
+            Self::Running => "running",
+            Self::Deferred => "deferred",
+            Self::Scheduled => "scheduled",
+            Self::AwaitingBudget => "awaiting budget",
+            Self::Held => "held",
+            Self::AwaitingPlan => "awaiting plan",
+            Self::Covered(_) => "covered",
+            Self::GivenUp => "given up",
+        }
+    }
+}
+
 impl Slot {
     pub(super) fn new(shard: u32) -> Self {
         Self {
--- a/crates/geraniumgauge/src/query/gather/suspect.rs
+++ b/crates/geraniumgauge/src/query/gather/suspect.rs
@@ -33,6 +33,7 @@
 pub(super) struct Trial {
     state: State,
     requests: u32,
+    progress: Progress,
     /// The slot, and the replica's position in its shard, of the last request.
     target: Option<(u32, usize)>,
 }
@@ -52,7 +53,46 @@
     Refused,
 }
 
+/// What became of the last request for a trial.
+#[derive(Debug, Default, Clone, Copy)]
+#[derive(derive_more::Display)]
+pub(super) enum Progress {
+    /// None was made.
+    #[default]
+    #[display("not requested")]
+    None,
+    /// Its decision is pending.
+    #[display("pending")]
+    Pending,
+    /// Not sent: no replica that could take it has all its siblings up.
+    #[display("no replica with all siblings up")]
+    NoTarget,
+    /// Denied by the quarantine.
+    #[display("denied")]
+    Denied,
+    /// Granted, but the replica could no longer take it.
+    #[display("granted too late")]
+    Outdated,
+    /// The call was sent.
+    #[display("sent")]
+    Sent,
+}
+
+/// The trial's requests, for the log.
+#[derive(Debug)]
+pub(super) struct Summary {
+    pub(super) requests: u32,
+    pub(super) progress: Progress,
+}
+
 impl Trial {
+    pub(super) fn summary(&self) -> Summary {
+        Summary {
+            requests: self.requests,
+            progress: self.progress,
+        }
+    }
+
     /// Returns whether a trial may still run or complete.
     pub(super) fn pending(&self) -> bool {
         matches!(
@@ -123,10 +163,12 @@
         }
         self.trial.requests += 1;
         let Some((slot, position)) = self.trial_target(now) else {
+            self.trial.progress = Progress::NoTarget;
             self.delay_trial(now + TARGET_RETRY_DELAY);
             return;
         };
         self.trial.state = State::Requested;
+        self.trial.progress = Progress::Pending;
         self.trial.target = Some((slot, position));
         let place = self.trial_place(slot, position);
         self.outbox.actions.push(Action::RequestTrial(place));
@@ -165,6 +207,7 @@
         if self.trial.state != State::Requested {
             return;
         }
+        self.trial.progress = Progress::Denied;
         match after {
             Some(after) => self.delay_trial(now + after),
             None => self.give_up_trial(),
@@ -216,11 +259,13 @@
             self.siblings_up(replica, down) && self.ready(replica, now)
         };
         let Some((slot, position)) = self.trial.target.filter(fits) else {
+            self.trial.progress = Progress::Outdated;
             self.end_trial(trial::End::NotRun, None);
             self.delay_trial(now + TARGET_RETRY_DELAY);
             return;
         };
         self.trial.state = State::Running;
+        self.trial.progress = Progress::Sent;
         self.send(slot, position, message::Kind::Trial, None, now);
     }
 
--- a/crates/geraniumgauge/src/query/replica.rs
+++ b/crates/geraniumgauge/src/query/replica.rs
@@ -114,6 +114,11 @@
         now.0 < self.avoid_until.load(ORDER)
     }
 
+    /// Returns for how long calls should still prefer other replicas.
+    pub fn avoided_for(&self, now: clock::Moment) -> time::Duration {
+        now.until(clock::Moment(self.avoid_until.load(ORDER)))
+    }
+
     /// Records a call to a lost replica as its probe: other calls avoid the replica
     /// until the probe has ended or [`PROBE_TIMEOUT`] has passed.
     pub fn record_probe(&self, now: clock::Moment) {
--- a/crates/geraniumgauge/src/query/task.rs
+++ b/crates/geraniumgauge/src/query/task.rs
@@ -38,9 +38,8 @@
     MarksChanged,
     /// The isolated trial may run.
     Granted(quarantine::Trial),
-    /// The isolated trial may not run; may be requested again after the delay, if
-    /// there is one.
-    Denied(Option<time::Duration>),
+    /// The isolated trial may not run; may be requested again after this time.
+    Denied(quarantine::Delay, time::Duration),
 }
 
 /// The parts of a search that all its calls share.
@@ -57,6 +56,15 @@
     pub(super) started: clock::Moment,
 }
 
+/// The isolated trial of one search.
+#[derive(Default)]
+pub(super) struct Trial {
+    /// The right to run it, from the grant to its end.
+    granted: Option<quarantine::Trial>,
+    /// What it had to wait for when its last request was denied, for the log.
+    delay: Option<quarantine::Delay>,
+}
+
 /// One running search.
 pub(super) struct Task {
     pub(super) owner: sync::Arc<service::Inner>,
@@ -67,7 +75,7 @@
     pub(super) gather: gather::Gather,
     pub(super) inbox: mpsc::UnboundedReceiver<Input>,
     pub(super) sender: router::InputSender,
-    pub(super) trial: Option<quarantine::Trial>,
+    pub(super) trial: Trial,
     /// The congestion that the search observed, for the admission limit.
     pub(super) load: admission::Load,
 }
@@ -80,6 +88,7 @@
         loop {
             if let Some(answer) = self.step(event) {
                 self.record(&answer);
+                self.log(&answer);
                 return answer;
             }
             event = self.next().await;
@@ -103,10 +112,13 @@
             Input::LinkLost(vm) => gather::Event::LinkLost(vm),
             Input::MarksChanged => gather::Event::Verdict(self.verdict()),
             Input::Granted(trial) => {
-                self.trial = Some(trial);
+                self.trial.granted = Some(trial);
                 gather::Event::Granted(self.owner.quarantine.down())
             }
-            Input::Denied(after) => gather::Event::Denied(after),
+            Input::Denied(delay, after) => {
+                self.trial.delay = Some(delay);
+                gather::Event::Denied(Some(after))
+            }
         }
     }
 
@@ -158,7 +170,7 @@
             }
             gather::Action::RequestTrial(place) => self.request_trial(place),
             gather::Action::EndTrial { end, upstream } => {
-                if let Some(trial) = self.trial.take() {
+                if let Some(trial) = self.trial.granted.take() {
                     trial.finish(end, upstream.as_ref());
                 }
                 return Effect::Event(gather::Event::Verdict(self.verdict()));
@@ -181,7 +193,7 @@
     ) -> Effect {
         let isolated = |call: &message::Call| call.kind() == message::Kind::Trial;
         if calls.iter().any(isolated)
-            && let Some(trial) = &mut self.trial
+            && let Some(trial) = &mut self.trial.granted
         {
             trial.begin();
         }
@@ -221,7 +233,7 @@
         tokio::spawn(async move {
             let input = match quarantine.trial(&service, fingerprint, Some(place)).await {
                 Ok(trial) => Input::Granted(trial),
-                Err(quarantine::Denied::Later { after }) => Input::Denied(Some(after)),
+                Err(quarantine::Denied::Later { delay, after }) => Input::Denied(delay, after),
                 Err(quarantine::Denied::Quarantined) => Input::MarksChanged,
             };
             // If the search has ended, the trial is dropped without being started.
@@ -241,6 +253,25 @@
             .verdict(&context.service, context.fingerprint)
     }
 
+    /// Logs an answer without some of its shards, and what was done for them.
+    fn log(&self, answer: &query::Answer) {
+        if answer.coverage.complete {
+            return;
+        }
+        let now = self.owner.clock.now();
+        let delay = self.trial.delay.map(|delay| delay.to_string());
+        log::info!(
+            request = self.context.request.as_str(),
+            service = self.context.service.as_str(),
+            fingerprint = self.context.fingerprint.0,
+            took_ms = clock::millis(now.since(self.context.started)),
+            missing = answer.coverage.missing.len(),
+            trial_denied = delay.unwrap_or_default();
+            "answered without all shards: {}",
+            self.gather.trace(now)
+        );
+    }
+
     /// Records the search in the statistics, objectives and metrics.
     fn record(&mut self, answer: &query::Answer) {
         let now = self.owner.clock.now();
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,6 +3,7 @@
 
 mod args;
 
+use std::fmt::Write as _;
 use std::process;
 
 use geraniumgauge_standin::demo;
@@ -10,6 +11,7 @@
 use geraniumgauge_standin::platform;
 use geraniumgauge_standin::site;
 use geraniumgauge_standin::site_load;
+use log::kv;
 
 /// Exit status for a wrong command line.
 const EXIT_USAGE: u8 = 2;
@@ -35,16 +37,40 @@
     code
 }
 
-/// Logs warnings to standard error. Must run before rocket starts, which would otherwise
+/// Logs warnings to standard error, and what the VMs say of incomplete answers and of
+/// upstreams. A VM's lines have its name, which is that of its thread. Must run before rocket starts, which would otherwise
 /// install its own logger.
 fn init_logging() {
     let warnings = fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
         .level_for("rocket", log::LevelFilter::Error)
+        .level_for("geraniumgauge::query::task", log::LevelFilter::Info)
+        .level_for("geraniumgauge::home::worker", log::LevelFilter::Info)
+        .level_for("geraniumgauge::member", log::LevelFilter::Info)
+        .level_for("geraniumgauge::mesh", log::LevelFilter::Info)
+        .level_for("geraniumgauge_standin::measure", log::LevelFilter::Info)
+        .format(|out, message, record| {
+            let mut pairs = String::new();
+            let _ = record.key_values().visit(&mut Pairs(&mut pairs));
+            let now = humantime::format_rfc3339_millis(std::time::SystemTime::now());
+            let thread = std::thread::current();
+            let name = thread.name().unwrap_or("-");
+            out.finish(format_args!("{now} {name} {message}{pairs}"));
+        })
         .chain(std::io::stderr());
     let _ = warnings.apply();
 }
 
+/// Collects key-values as text.
+struct Pairs<'t>(&'t mut String);
+
+impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let written = write!(self.0, " {key}={value}");
+        written.map_err(kv::Error::from)
+    }
+}
+
 async fn execute(command: args::Command) -> process::ExitCode {
     match command {
         args::Command::Help => {
--- a/crates/standin/src/measure/together.rs
+++ b/crates/standin/src/measure/together.rs
@@ -143,17 +143,21 @@
         match random.random_range(0..10) {
             0 if site.vms.len() > MIN_VMS => {
                 let index = random.random_range(0..site.vms.len());
+                log::info!("fault: {} is killed", site.vms[index].id());
                 killed.insert(site.kill(index));
                 site.add().await?;
             }
             1 if site.vms.len() > MIN_VMS => {
                 let index = random.random_range(0..site.vms.len());
+                log::info!("fault: {} is stopped", site.vms[index].id());
                 drop(site.stop(index));
                 site.add().await?;
             }
             2 | 3 => {
                 let index = random.random_range(0..site.vms.len());
-                site.vms[index].freeze(FAULT_DURATION.mul_f64(random.random::<f64>()));
+                let duration = FAULT_DURATION.mul_f64(random.random::<f64>());
+                log::info!("fault: {} pauses for {duration:?}", site.vms[index].id());
+                site.vms[index].freeze(duration);
             }
             4 => {
                 platform_until = tokio::time::Instant::now() + FAULT_DURATION;
@@ -171,6 +175,7 @@
         }
     }
     tokio::time::sleep(FAULT_DURATION).await;
+    log::info!("all faults end");
     set_platform_fault(site, |_| {});
     for upstream in &site.service(SERVICE).upstreams {
         upstream.state().set_faults(clear_faults);
@@ -183,6 +188,7 @@
     site.platform.state().set_faults(|faults| {
         *faults = crate::platform::Faults::default();
         change(faults);
+        log::info!("fault: the platform has {faults:?}");
     });
 }
 
@@ -200,7 +206,9 @@
     let service = site.service(SERVICE);
     let index = random.random_range(0..service.upstreams.len());
     let state = service.upstreams[index].state();
-    match random.random_range(0..7) {
+    let kind = random.random_range(0..7);
+    log::info!("fault: upstream {} has fault {kind}", state.config().id);
+    match kind {
         0 => state.crash(),
         1 => state.set_faults(|faults| faults.silence_open = true),
         2 => state.set_faults(|faults| faults.draining = !faults.draining),
