A call whose link was never opened moves to another home without the retry budget

Cause: homes that had died 10 to 28 s before were still members to some VMs. A link that can't be opened was reported like one that was lost, so its calls counted as possibly run and needed a retry each. The budget for retries had been spent on the faults, and the answer doesn't wait for it. Evidence: the line "answered without all shards" of each such search: "First to foreman-search-4-1 via vm-14 Unknown after 0 ms", "awaiting budget"; vm-14 killed 26 s before.

The frames of a link that was never opened have not left the VM. The mesh now reports it apart (link_not_opened), and searches send such calls to another home or, if none of the replica's can be reached, another replica, at once and without the budget: nothing ran, so nothing is added to any upstream's load. It ends, as each failure makes one more home avoided. Registrations take it as before: as not known whether it ran.

--- a/crates/geraniumgauge/src/mesh/link.rs
+++ b/crates/geraniumgauge/src/mesh/link.rs
@@ -36,7 +36,10 @@
     /// The peer has restarted; this link was to its earlier process.
     #[display("the peer has restarted")]
     Restarted,
-    /// Connecting, exchanging hellos, reading or writing failed.
+    /// Connecting or exchanging hellos failed; no queued frame was written.
+    #[display("{_0}")]
+    NotOpened(String),
+    /// Reading or writing failed.
     #[display("{_0}")]
     Failed(String),
 }
@@ -66,6 +69,8 @@
     instruments: sync::Arc<instruments::Instruments>,
 }
 
+type Reader = framing::FramedRead<tcp::OwnedReadHalf, codec::Codec>;
+
 impl Link {
     pub(super) fn new(
         peer: ids::Vm,
@@ -127,14 +132,32 @@
         let ended = tokio::select! {
             biased;
             () = self.aborted.cancelled() => None,
-            ended = self.run_connection() => ended.err().map(End::Failed),
+            ended = self.run_connection() => ended.err(),
         };
         self.outbox.discard();
         let abort_reason = self.end.get().cloned();
         abort_reason.or(ended).unwrap_or(End::Closed)
     }
 
-    async fn run_connection(&self) -> Result<(), String> {
+    async fn run_connection(&self) -> Result<(), End> {
+        let (reader, mut write) = self.open().await.map_err(End::NotOpened)?;
+        instruments::increment(&self.instruments.opened);
+        let reading = self.read(reader);
+        tokio::pin!(reading);
+        tokio::select! {
+            ended = &mut reading => return Err(End::Failed(ended)),
+            written = self.write(&mut write) => {
+                written.map_err(|error| End::Failed(text(error)))?;
+            }
+        }
+        // The peer closes after the last frame. Closing first, with its replies
+        // unread, would reset the connection and drop frames in flight.
+        drop(tokio::time::timeout(self.settings.connect_timeout, reading).await);
+        Ok(())
+    }
+
+    /// Connects and exchanges hellos.
+    async fn open(&self) -> Result<(Reader, tcp::OwnedWriteHalf), String> {
         let timeout = self.settings.connect_timeout;
         let connect = sockets::TcpStream::connect(self.settings.address);
         let connected = tokio::time::timeout(timeout, connect).await;
@@ -147,24 +170,14 @@
         let handshake = self.exchange_hello(&mut reader, &mut write);
         let done = tokio::time::timeout(timeout, handshake).await;
         done.map_err(|_| "no hello arrived in time".to_owned())??;
-        instruments::increment(&self.instruments.opened);
-        let reading = self.read(reader);
-        tokio::pin!(reading);
-        tokio::select! {
-            ended = &mut reading => return Err(ended),
-            written = self.write(&mut write) => written.map_err(text)?,
-        }
-        // The peer closes after the last frame. Closing first, with its replies
-        // unread, would reset the connection and drop frames in flight.
-        drop(tokio::time::timeout(timeout, reading).await);
-        Ok(())
+        Ok((reader, write))
     }
 
     /// Exchanges hellos and checks the peer's name. Frames are held back until then,
     /// since the address may have been taken over by another VM.
     async fn exchange_hello(
         &self,
-        reader: &mut framing::FramedRead<tcp::OwnedReadHalf, codec::Codec>,
+        reader: &mut Reader,
         write: &mut tcp::OwnedWriteHalf,
     ) -> Result<(), String> {
         let codec = codec::Codec::new(self.settings.queue.max_frame_bytes);
@@ -206,10 +219,7 @@
     }
 
     /// Reads replies to heartbeats until the stream ends. Returns the reason.
-    async fn read(
-        &self,
-        mut reader: framing::FramedRead<tcp::OwnedReadHalf, codec::Codec>,
-    ) -> String {
+    async fn read(&self, mut reader: Reader) -> String {
         loop {
             match reader.next().await {
                 Some(Ok(Some(message::Body::HeartbeatReply(number)))) => {
--- a/crates/geraniumgauge/src/mesh/mod.rs
+++ b/crates/geraniumgauge/src/mesh/mod.rs
@@ -59,7 +59,8 @@
 
 /// Sends frames to VMs. Frames to this VM itself are delivered locally, in order
 /// and without a socket. Sending never blocks. A queued frame may still be lost, in
-/// which case [`Receiver::link_lost`] is called for its link.
+/// which case [`Receiver::link_lost`] or [`Receiver::link_not_opened`] is called for
+/// its link.
 pub trait Sender: Send + Sync {
     /// Queues one frame.
     ///
@@ -78,4 +79,10 @@
     /// not have arrived, and replies to earlier frames may never come. Replies that
     /// still arrive must be dropped by their attempt number.
     fn link_lost(&self, vm: &ids::Vm);
+
+    /// Handles a link to `vm` that couldn't be opened. None of the frames queued on
+    /// it has left this VM.
+    fn link_not_opened(&self, vm: &ids::Vm) {
+        self.link_lost(vm);
+    }
 }
--- a/crates/geraniumgauge/src/mesh/service.rs
+++ b/crates/geraniumgauge/src/mesh/service.rs
@@ -202,6 +202,13 @@
         self.receiver.link_lost(vm);
     }
 
+    /// Logs that a link couldn't be opened and reports it to the receiver.
+    fn link_not_opened(&self, vm: &ids::Vm, reason: &str) {
+        instruments::increment(&self.instruments.lost);
+        log::info!("mesh: failed to open a link to VM {vm}: {reason}");
+        self.receiver.link_not_opened(vm);
+    }
+
     fn all_links(&self) -> Vec<sync::Arc<link::Link>> {
         let links = self.links.read();
         let links = links.unwrap_or_else(sync::PoisonError::into_inner);
@@ -341,10 +348,11 @@
     };
     drop(open);
     mesh.remove_link(&link);
-    if end == link::End::Closed {
-        return;
+    match &end {
+        link::End::Closed => return,
+        link::End::NotOpened(reason) => return mesh.link_not_opened(&link.peer, reason),
+        lost => mesh.link_lost(&link.peer, "to", &lost.to_string()),
     }
-    mesh.link_lost(&link.peer, "to", &end.to_string());
     if end == link::End::Silent {
         instruments::increment(&mesh.instruments.silent);
         // The peer may wait for replies that were lost with the silent link. A
--- a/crates/geraniumgauge/src/query/gather/attempt.rs
+++ b/crates/geraniumgauge/src/query/gather/attempt.rs
@@ -25,6 +25,8 @@
     pub(super) kind: message::Kind,
     /// Set once it has ended; later replies are dropped.
     pub(super) ended: bool,
+    /// Set when it failed without having left this VM.
+    pub(super) unsent: bool,
     /// How it failed, if it did.
     pub(super) failure: Option<Failure>,
     /// Set when this search cancelled it and no reply has arrived since. It may
--- a/crates/geraniumgauge/src/query/gather/calls.rs
+++ b/crates/geraniumgauge/src/query/gather/calls.rs
@@ -120,6 +120,7 @@
             sent: now,
             kind,
             ended: false,
+            unsent: false,
             failure: None,
             cancel_unconfirmed: false,
         });
@@ -168,8 +169,8 @@
 
     /// Chooses the replica to call for `slot` and returns its position in the
     /// shard. Excludes the positions in the bit mask `excluded` and replicas known to
-    /// lack the pinned version, prefers replicas that aren't avoided, and takes
-    /// the less loaded of two random candidates. Under [`query::Policy::Direct`] the
+    /// lack the pinned version, prefers replicas that aren't avoided and have a home
+    /// that isn't, and takes the less loaded of two random candidates. Under [`query::Policy::Direct`] the
     /// eligible replicas are taken in turn instead, avoided or not.
     pub(super) fn choose(&mut self, slot: u32, excluded: u64, now: clock::Moment) -> Option<usize> {
         let shard = self.plan.shard(self.slots[slot as usize].shard);
@@ -179,7 +180,12 @@
             if excluded & bit(position) == 0 && self.may_offer(shard, position, now) {
                 eligible |= bit(position);
                 let avoided = self.stats(shard, position).avoided(now);
-                healthy |= if avoided { 0 } else { bit(position) };
+                let reachable = self.plan.reachable(shard.replicas[position], now);
+                healthy |= if avoided || !reachable {
+                    0
+                } else {
+                    bit(position)
+                };
             }
         }
         if self.setup.policy == query::Policy::Direct {
@@ -198,7 +204,12 @@
     }
 
     /// Returns whether the replica offers the pinned version, as far as known.
-    fn may_offer(&self, shard: &plan::Shard, position: usize, now: clock::Moment) -> bool {
+    pub(super) fn may_offer(
+        &self,
+        shard: &plan::Shard,
+        position: usize,
+        now: clock::Moment,
+    ) -> bool {
         let Some(pin) = self.pin else {
             return true;
         };
--- a/crates/geraniumgauge/src/query/gather/event.rs
+++ b/crates/geraniumgauge/src/query/gather/event.rs
@@ -86,6 +86,8 @@
     Unsent(Vec<u64>),
     /// The link to a VM was lost.
     LinkLost(ids::Vm),
+    /// The link to a VM couldn't be opened: no call to it has left this VM.
+    LinkNotOpened(ids::Vm),
     /// The present verdict on the request.
     Verdict(quarantine::Verdict),
     /// The answer to [`Action::Replan`]; `None` where the service has ended.
--- a/crates/geraniumgauge/src/query/gather/fail.rs
+++ b/crates/geraniumgauge/src/query/gather/fail.rs
@@ -143,7 +143,7 @@
             if !self.attempts[attempt as usize].ended {
                 let vm = self.homes.name(self.attempts[attempt as usize].vm).clone();
                 self.avoid(&vm, now);
-                self.failed(attempt, Outcome::NotHome, time::Duration::ZERO, now);
+                self.failed_unsent(attempt, now);
             }
         }
     }
@@ -151,17 +151,33 @@
     /// Fails all calls at a VM whose link was lost.
     pub(super) fn link_lost(&mut self, vm: &ids::Vm, now: clock::Moment) {
         self.avoid(vm, now);
-        let Some(lost) = self.homes.find(vm) else {
-            return;
-        };
-        for attempt in 0..self.attempts.len() as u32 {
-            let called = &self.attempts[attempt as usize];
-            if !called.ended && called.vm == lost {
-                self.failed(attempt, Outcome::Unknown, time::Duration::ZERO, now);
-            }
+        for attempt in self.running_at(vm) {
+            self.failed(attempt, Outcome::Unknown, time::Duration::ZERO, now);
+        }
+    }
+
+    /// Fails all calls at a VM to which no link could be opened.
+    pub(super) fn link_not_opened(&mut self, vm: &ids::Vm, now: clock::Moment) {
+        self.avoid(vm, now);
+        for attempt in self.running_at(vm) {
+            self.failed_unsent(attempt, now);
         }
     }
 
+    /// Returns the running calls at a VM.
+    fn running_at(&self, vm: &ids::Vm) -> Vec<u32> {
+        let number = self.homes.find(vm);
+        let calls = self.attempts.iter().enumerate();
+        let running = calls.filter(|(_, call)| !call.ended && Some(call.vm) == number);
+        running.map(|(attempt, _)| attempt as u32).collect()
+    }
+
+    /// Fails a call that hasn't left this VM.
+    fn failed_unsent(&mut self, attempt: u32, now: clock::Moment) {
+        self.attempts[attempt as usize].unsent = true;
+        self.failed(attempt, Outcome::NotHome, time::Duration::ZERO, now);
+    }
+
     /// Makes searches avoid a VM for a while.
     fn avoid(&self, vm: &ids::Vm, now: clock::Moment) {
         if let Some(known) = self.plan.vms.iter().find(|known| known.id == *vm) {
@@ -198,7 +214,7 @@
         slot.reason = Some(reason(outcome));
         slot.failures += 1;
         if slot.open().is_empty() {
-            self.call_failed_shard(called.slot, Some(called.vm), outcome, retry_after, now);
+            self.call_failed_shard(attempt, outcome, retry_after, now);
         }
     }
 
@@ -217,40 +233,55 @@
     /// Decides how to go on with a shard whose last running call has failed.
     fn call_failed_shard(
         &mut self,
-        slot: u32,
-        vm: Option<u32>,
+        attempt: u32,
         outcome: Outcome,
         retry_after: time::Duration,
         now: clock::Moment,
     ) {
+        let called = &self.attempts[attempt as usize];
+        let (slot, vm, unsent) = (called.slot, called.vm, called.unsent);
         if self.verdict_pending || self.verdict != query::CLEAR {
             self.slots[slot as usize].state = slot::State::Held;
             return;
         }
         if matches!(self.phase, Phase::Lead { .. }) {
-            self.lead_call_failed(slot, outcome, now);
+            self.lead_call_failed(attempt, outcome, now);
             return;
         }
-        let entry = &mut self.slots[slot as usize];
         let moves = matches!(outcome, Outcome::NotHome | Outcome::Stopping);
-        if moves && !entry.moved {
-            entry.moved = true;
+        // Each call that didn't leave this VM makes one more home avoided, so this ends.
+        let elsewhere = unsent && self.is_reachable(slot, now);
+        let entry = &mut self.slots[slot as usize];
+        if elsewhere || (moves && !entry.moved) {
+            entry.moved |= !unsent;
             entry.state = slot::State::AwaitingPlan;
             self.restart.replan(&mut self.outbox.actions);
             return;
         }
-        let avoid = vm.map(|vm| self.homes.name(vm).clone());
-        let avoid = avoid.filter(|_| moves || outcome == Outcome::Unknown);
+        let avoid = moves || outcome == Outcome::Unknown;
+        let avoid = avoid.then(|| self.homes.name(vm).clone());
         self.retry(slot, avoid, retry_after, now);
     }
 
+    /// Returns whether a replica of the shard may offer the pinned version and has a
+    /// home that isn't avoided.
+    fn is_reachable(&self, slot: u32, now: clock::Moment) -> bool {
+        let shard = self.plan.shard(self.slots[slot as usize].shard);
+        let mut replicas = shard.replicas.iter().enumerate();
+        replicas.any(|(position, replica)| {
+            self.may_offer(shard, position, now) && self.plan.reachable(*replica, now)
+        })
+    }
+
     /// Handles a failed lead call. Its shard is called again in the fan-out, or
-    /// remains unsent if the failure made the search choose another version.
-    fn lead_call_failed(&mut self, slot: u32, outcome: Outcome, now: clock::Moment) {
+    /// remains unsent if the call hasn't left this VM or the failure made the search
+    /// choose another version.
+    fn lead_call_failed(&mut self, attempt: u32, outcome: Outcome, now: clock::Moment) {
         let repinned = outcome == Outcome::Version && self.covered == 0 && self.repin(now);
-        let entry = &mut self.slots[slot as usize];
+        let called = &self.attempts[attempt as usize];
+        let entry = &mut self.slots[called.slot as usize];
         entry.tried = 0;
-        entry.state = if repinned {
+        entry.state = if repinned || called.unsent {
             slot::State::Unsent
         } else {
             slot::State::Deferred
--- a/crates/geraniumgauge/src/query/gather/lead.rs
+++ b/crates/geraniumgauge/src/query/gather/lead.rs
@@ -132,13 +132,15 @@
         requested.filter(|slot| matches!(self.slots[*slot as usize].state, slot::State::Unsent))
     }
 
-    /// Returns whether `replica` lacks the pinned version, is down or is avoided.
+    /// Returns whether `replica` lacks the pinned version, is down or avoided, or has
+    /// only homes that are avoided.
     fn unhealthy(&self, replica: u32, now: clock::Moment) -> bool {
         let stats = &self.plan.replica(replica).stats;
         let lacks = self
             .pin
             .is_some_and(|pin| stats.offers(pin, now) == Some(false));
-        lacks || stats.avoided(now) || stats.down()
+        let unreachable = !self.plan.reachable(replica, now);
+        lacks || unreachable || stats.avoided(now) || stats.down()
     }
 
     /// Returns whether `replica` shares no shard with any of `used`, so that
--- a/crates/geraniumgauge/src/query/gather/mod.rs
+++ b/crates/geraniumgauge/src/query/gather/mod.rs
@@ -161,6 +161,7 @@
             }
             Event::Unsent(attempts) => self.unsent(&attempts, now),
             Event::LinkLost(vm) => self.link_lost(&vm, now),
+            Event::LinkNotOpened(vm) => self.link_not_opened(&vm, now),
             Event::Verdict(verdict) => self.verdict_changed(verdict, now),
             Event::Plan(plan) => self.plan_received(plan, now),
             Event::Granted(down) => self.trial_granted(&down, now),
--- a/crates/geraniumgauge/src/query/plan.rs
+++ b/crates/geraniumgauge/src/query/plan.rs
@@ -161,6 +161,12 @@
         numbers.iter().map(|replica| self.replica(*replica))
     }
 
+    /// Returns whether `replica` has a home that isn't avoided for a lost link.
+    pub fn reachable(&self, replica: u32, now: clock::Moment) -> bool {
+        let mut homes = self.replica(replica).homes.iter();
+        homes.any(|home| !self.vms[*home as usize].link.avoided(now))
+    }
+
     /// Returns the index of the home to call `replica` through: the first that is
     /// neither `avoid` nor avoided for a lost link, else the first that isn't
     /// `avoid`, else the primary.
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -156,6 +156,14 @@
             .broadcast(|| task::Input::LinkLost(vm.clone()));
     }
 
+    /// Handles a link to a VM that couldn't be opened.
+    pub fn link_not_opened(&self, vm: &ids::Vm) {
+        self.inner.links.get(vm).record_loss(self.inner.clock.now());
+        self.inner
+            .router
+            .broadcast(|| task::Input::LinkNotOpened(vm.clone()));
+    }
+
     /// Returns the number of running searches.
     pub fn running(&self) -> usize {
         self.inner.running.load(atomic::Ordering::Relaxed)
--- a/crates/geraniumgauge/src/query/task.rs
+++ b/crates/geraniumgauge/src/query/task.rs
@@ -34,6 +34,8 @@
     Replies(ids::Vm, Vec<message::Reply>),
     /// The link to a VM was lost.
     LinkLost(ids::Vm),
+    /// The link to a VM couldn't be opened.
+    LinkNotOpened(ids::Vm),
     /// Quarantine marks have changed.
     MarksChanged,
     /// The isolated trial may run.
@@ -110,6 +112,7 @@
                 gather::Event::Replies { from, replies }
             }
             Input::LinkLost(vm) => gather::Event::LinkLost(vm),
+            Input::LinkNotOpened(vm) => gather::Event::LinkNotOpened(vm),
             Input::MarksChanged => gather::Event::Verdict(self.verdict()),
             Input::Granted(trial) => {
                 self.trial.granted = Some(trial);
--- a/crates/geraniumgauge/src/vm/dispatch.rs
+++ b/crates/geraniumgauge/src/vm/dispatch.rs
@@ -74,6 +74,15 @@
         targets.query.link_lost(vm);
         targets.ledger.link_lost(vm);
     }
+
+    fn link_not_opened(&self, vm: &ids::Vm) {
+        let Some(targets) = self.targets.get() else {
+            return;
+        };
+        targets.home.link_lost(vm);
+        targets.query.link_not_opened(vm);
+        targets.ledger.link_lost(vm);
+    }
 }
 
 /// Passes gossip updates about marks of suspect requests to the quarantine until
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -37,15 +37,14 @@
     code
 }
 
-/// Logs warnings to standard error, and what the VMs say of incomplete answers and of
-/// upstreams. A VM's lines have its name, which is that of its thread. Must run before rocket starts, which would otherwise
+/// Logs warnings to standard error, and what VMs say of incomplete answers, members and
+/// links. A VM's lines have its name, which is that of its thread. Must run before rocket starts, which would otherwise
 /// install its own logger.
 fn init_logging() {
     let warnings = fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
         .level_for("rocket", log::LevelFilter::Error)
         .level_for("geraniumgauge::query::task", log::LevelFilter::Info)
-        .level_for("geraniumgauge::home::worker", log::LevelFilter::Info)
         .level_for("geraniumgauge::member", log::LevelFilter::Info)
         .level_for("geraniumgauge::mesh", log::LevelFilter::Info)
         .level_for("geraniumgauge_standin::measure", log::LevelFilter::Info)
