A death heard before the VM was known isn't dropped

Callers saw the same incomplete searches: VMs that had started after a home's death took the dead home up as a new member, 25 s after it had died.

Cause: the death of a VM that a member had never held as live was ignored, so a record of it as live that came later, from a VM that hadn't noticed the death, won. Two VMs that had received the same records held different states, which the lattice of records must exclude.

Such deaths are now remembered for ten minutes. They are not passed on and not sent when digests differ: passed on to each new VM, they would never be forgotten.

an_outdated_record_does_not_bring_back_a_vm_that_died_before_this_one_started failed before.

--- a/crates/geraniumgauge/src/member/settings.rs
+++ b/crates/geraniumgauge/src/member/settings.rs
@@ -36,6 +36,9 @@
     pub dead_probe_interval: time::Duration,
     /// Time for which a dead member is remembered.
     pub tombstone_lifetime: time::Duration,
+    /// Time for which the death of a VM is remembered that this VM never held as live.
+    /// Longer than outdated records of it as live may still be received.
+    pub unknown_tombstone_lifetime: time::Duration,
     /// Bandwidth of gossip and digest comparisons, headers included.
     pub byte_rate: rate::PerSecond,
     /// Bytes that gossip and digest comparisons may send in a burst after an idle
@@ -64,6 +67,7 @@
             max_sync_datagrams: 8,
             dead_probe_interval: time::Duration::from_secs(3),
             tombstone_lifetime: time::Duration::from_secs(24 * 3600),
+            unknown_tombstone_lifetime: time::Duration::from_secs(600),
             byte_rate: rate::PerSecond(8_000.0),
             burst_bytes: 16_000.0,
             urgent_byte_rate: rate::PerSecond(2_000.0),
--- a/crates/geraniumgauge/src/member/state/join.rs
+++ b/crates/geraniumgauge/src/member/state/join.rs
@@ -80,8 +80,9 @@
             let probe = wire::Probe::default();
             self.send(address, None, Some(wire::Kind::Ping(probe)), now);
         }
-        let entries = self.members.values().map(|entry| &entry.record);
-        let dead = entries.filter(|record| !record.is_live());
+        let entries = self.members.values().filter(|entry| entry.was_live);
+        let dead = entries.map(|entry| &entry.record);
+        let dead = dead.filter(|record| !record.is_live());
         let dead = dead.choose_multiple(&mut self.rng, count);
         let dead: Vec<_> = dead
             .into_iter()
--- a/crates/geraniumgauge/src/member/state/mod.rs
+++ b/crates/geraniumgauge/src/member/state/mod.rs
@@ -117,6 +117,9 @@
     name_hash: u64,
     /// Time at which it was declared dead.
     died: Option<clock::Moment>,
+    /// Set once this VM has held it as live. Of others only the death is known, which
+    /// isn't passed on.
+    was_live: bool,
     /// The incarnation that the platform's list marks as leaving.
     listed_leaving: Option<ids::Incarnation>,
 }
--- a/crates/geraniumgauge/src/member/state/records.rs
+++ b/crates/geraniumgauge/src/member/state/records.rs
@@ -20,8 +20,7 @@
         let held = self.members.get(&vm).map(|entry| entry.record.clone());
         let new = match &held {
             Some(held) => held.merge(&received),
-            // A death of an unknown VM changes nothing.
-            None => Some(received).filter(record::Record::is_live),
+            None => Some(received),
         };
         let Some(new) = new else {
             return self.count_retransmission(&queue::Subject::Vm(vm));
@@ -42,16 +41,20 @@
         }
         self.track_suspicion(&new, now);
         let died = (!new.is_live()).then_some(now);
-        let listed_leaving = self.members.get(&vm).and_then(|entry| entry.listed_leaving);
-        let record = new;
+        let held = self.members.get(&vm);
         let entry = state::Entry {
-            record,
+            was_live: new.is_live() || held.is_some_and(|entry| entry.was_live),
+            listed_leaving: held.and_then(|entry| entry.listed_leaving),
+            record: new,
             name_hash,
             died,
-            listed_leaving,
         };
-        self.members.insert(vm.clone(), entry);
-        self.queue.add(queue::Subject::Vm(vm));
+        // Passed on by all, deaths would be remembered for good: each VM that hears
+        // of one would remember it anew.
+        if entry.was_live {
+            self.queue.add(queue::Subject::Vm(vm.clone()));
+        }
+        self.members.insert(vm, entry);
     }
 
     /// Counts a member that is new or, if `returned`, was dead before.
@@ -132,8 +135,14 @@
             self.stats.deaths += 1;
             self.set_health(&vm, record::Health::Dead, now);
         }
-        let lifetime = self.settings.tombstone_lifetime;
-        let old = |entry: &state::Entry| entry.died.is_some_and(|died| now.since(died) > lifetime);
+        let old = |entry: &state::Entry| {
+            let lifetime = if entry.was_live {
+                self.settings.tombstone_lifetime
+            } else {
+                self.settings.unknown_tombstone_lifetime
+            };
+            entry.died.is_some_and(|died| now.since(died) > lifetime)
+        };
         let entries = self.members.iter().filter(|(_, entry)| old(entry));
         let expired: Vec<_> = entries.map(|(vm, _)| vm.clone()).collect();
         for vm in expired {
--- a/crates/geraniumgauge/src/member/state/sync.rs
+++ b/crates/geraniumgauge/src/member/state/sync.rs
@@ -140,7 +140,8 @@
         for (position, bucket) in buckets.iter().enumerate() {
             rank[*bucket] = position;
         }
-        let vms = self.members.iter().map(|(vm, entry)| {
+        let held = self.members.iter().filter(|(_, entry)| entry.was_live);
+        let vms = held.map(|(vm, entry)| {
             let rank = rank[digest::bucket(entry.name_hash)];
             (rank, queue::Subject::Vm(vm.clone()))
         });
--- a/crates/geraniumgauge/src/member/tests/state.rs
+++ b/crates/geraniumgauge/src/member/tests/state.rs
@@ -300,6 +300,35 @@
     assert_eq!(net.nodes[2].state.own().incarnation, ids::Incarnation(1));
 }
 
+/// A VM dies shortly before another one starts, and a third hasn't noticed the death
+/// yet. Guards against a dead VM that the new one takes up as live, because it had
+/// dropped the record of the death.
+#[test]
+fn an_outdated_record_does_not_bring_back_a_vm_that_died_before_this_one_started() {
+    let mut net = Net::settled(3, 7);
+    let record = |health| record::Record {
+        health,
+        ..net::record(9, 1)
+    };
+    let tell = |net: &mut Net, health| {
+        let datagram = wire::Datagram {
+            from: Some(wire::Record::from(&net::record(1, 1))),
+            records: vec![wire::Record::from(&record(health))],
+            ..wire::Datagram::default()
+        };
+        let from = net::address(1);
+        net.event(0, Event::Datagram { from, datagram });
+    };
+    tell(&mut net, record::Health::Dead);
+    tell(&mut net, record::Health::Alive);
+    assert!(net.nodes[0].state.view().get(&net::vm(9)).is_none());
+    let state = &net.nodes[0].state;
+    assert_eq!(state.stats().live, 3);
+    net.now = net.now + settings::Settings::default().unknown_tombstone_lifetime;
+    net.run(2);
+    assert!(net.nodes[0].state.record(&net::vm(9)).is_none());
+}
+
 #[test]
 fn a_long_dead_member_is_forgotten_with_its_applied_updates() {
     let mut net = Net::settled(3, 5);
