Suspect searches ask the homes which lost replicas are back

Cause: an isolated trial needs a shard whose replicas are all up, and a VM learned that a lost one is back only from the answer to a call of its own. No call was made: the penalty for lost calls makes searches prefer the sibling for four seconds. Evidence: "8 trial(s) requested, last no replica with all siblings up", and of each restarted replica "down last answered 895 ms ago, avoided for 0 ms". The eight requests were used up by checks that asked nobody.

A suspect search that finds no place for its trial now asks the homes of lost replicas, eight at a time, when these last answered; a home checks one that it takes as down at once. The report counts from the moment of the inquiry less the age it states, so that one that was long under way proves nothing. What the marks list as lost is asked about too, once a grant has shown it. Checks without a place don't count as requests, and come each 50 ms.

--- a/crates/geraniumgauge/src/home/service.rs
+++ b/crates/geraniumgauge/src/home/service.rs
@@ -52,6 +52,7 @@
     view: watch::Receiver<member::SharedView>,
     placement: placement::Cache,
     context: sync::Arc<worker::Context>,
+    sender: sync::Arc<dyn mesh::Sender>,
     workers: sync::RwLock<Workers>,
     /// Workers of upstreams whose layout entry has changed, kept until they are idle.
     retired: sync::Mutex<Vec<sync::Arc<worker::Worker>>>,
@@ -69,7 +70,10 @@
         timer: timer::Service,
         meter: &metrics::Meter,
     ) -> Self {
-        let outbox = sync::Arc::new(outbox::Outbox::new(sender, timer.clone()));
+        let outbox = sync::Arc::new(outbox::Outbox::new(
+            sync::Arc::clone(&sender),
+            timer.clone(),
+        ));
         tokio::spawn(sync::Arc::clone(&outbox).run());
         let context = worker::Context {
             clock,
@@ -88,6 +92,7 @@
             view,
             placement,
             context: sync::Arc::new(context),
+            sender,
             workers: sync::RwLock::default(),
             retired: sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
@@ -169,6 +174,33 @@
         }
     }
 
+    /// Answers when upstreams last answered this VM, and checks those that it takes as
+    /// down.
+    pub fn inquiry(&self, from: &ids::Vm, inquiry: message::Inquiry) {
+        let now = self.inner.context.clock.now();
+        let names = inquiry
+            .upstreams
+            .iter()
+            .filter_map(|name| name.parse().ok());
+        let answered = names.filter_map(|upstream: ids::Upstream| {
+            let worker = self.inner.read().get(&upstream).cloned()?;
+            let answered = worker.read(state::State::latest_answered_send);
+            worker.handle(state::Event::Inquiry);
+            Some(message::Answered {
+                upstream: upstream.to_string(),
+                age_us: crate::time::micros(now.since(answered?)),
+            })
+        });
+        let report = message::Report {
+            service: inquiry.service,
+            asked_us: inquiry.asked_us,
+            answered: answered.collect(),
+        };
+        if let Err(error) = self.inner.sender.send(from, message::Body::Report(report)) {
+            log::debug!("failed to report to {from} when upstreams last answered: {error}");
+        }
+    }
+
     /// Drops the calls of `vm` after the mesh link to it was lost.
     pub fn link_lost(&self, vm: &ids::Vm) {
         self.inner.context.calls.remove_calls_of(vm);
--- a/crates/geraniumgauge/src/home/state/maintenance.rs
+++ b/crates/geraniumgauge/src/home/state/maintenance.rs
@@ -102,6 +102,13 @@
             };
     }
 
+    /// Checks at once whether an upstream that is taken as down is back.
+    pub(super) fn inquiry(&mut self, now: Moment) {
+        if self.availability.is_down() {
+            self.probe.make_due(now);
+        }
+    }
+
     fn apply_report(&mut self, health: Option<upstream::Health>, now: Moment) {
         if self.availability.reached(now) {
             self.warm_up();
--- a/crates/geraniumgauge/src/home/state/mod.rs
+++ b/crates/geraniumgauge/src/home/state/mod.rs
@@ -80,6 +80,8 @@
         /// The upstream's health report, or why there is none.
         report: Report,
     },
+    /// A coordinator asked when the upstream last answered.
+    Inquiry,
     /// This VM's role for the upstream has changed.
     Role(Option<placement::Role>),
     /// The newest layout lists the upstream (true) or no longer does (false).
@@ -219,6 +221,7 @@
             Event::Role(role) => self.set_role(role, now),
             Event::Listed(listed) => self.set_listed(listed, now),
             Event::Leave => self.leaving = true,
+            Event::Inquiry => self.inquiry(now),
             Event::Tick => {}
         }
         self.advance(now);
@@ -263,6 +266,12 @@
         self.role
     }
 
+    /// Returns the send time of the latest call or health request that has been
+    /// answered; `None` if there is none.
+    pub fn latest_answered_send(&self) -> Option<Moment> {
+        Some(self.latest_answered_send).filter(|sent| *sent > Moment::default())
+    }
+
     /// Returns true if the newest layout lists the upstream.
     pub fn is_listed(&self) -> bool {
         self.unlisted_since.is_none()
--- a/crates/geraniumgauge/src/mesh/message/mod.rs
+++ b/crates/geraniumgauge/src/mesh/message/mod.rs
@@ -4,6 +4,7 @@
 //! Deadlines are sent as the time left in microseconds, never as clock times.
 
 mod document;
+mod health;
 mod record;
 mod search;
 
@@ -11,6 +12,9 @@
 pub use document::Entry;
 pub use document::Pull;
 pub use document::Pulled;
+pub use health::Answered;
+pub use health::Inquiry;
+pub use health::Report;
 pub use record::Record;
 pub use record::RecordReply;
 pub use record::Register;
@@ -30,7 +34,10 @@
 #[derive(prost::Message)]
 pub struct Frame {
     /// The message. `None` for a kind of a newer version, which is skipped.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+    )]
     pub body: Option<Body>,
 }
 
@@ -81,6 +88,12 @@
     /// To every VM: a request that is suspected of crashing upstreams.
     #[prost(message, tag = "14")]
     Mark(Mark),
+    /// Coordinator to home: asks when upstreams last answered.
+    #[prost(message, tag = "15")]
+    Inquiry(Inquiry),
+    /// Home to coordinator: answers a [`Body::Inquiry`].
+    #[prost(message, tag = "16")]
+    Report(Report),
 }
 
 /// Identifies the sender at the start of a link.
--- a/crates/geraniumgauge/src/quarantine/tests/simulation.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/simulation.rs
@@ -69,6 +69,11 @@
         coordinator: usize,
         mark: String,
     },
+    Inquiry {
+        coordinator: usize,
+        upstream: ids::Upstream,
+        asked: clock::Moment,
+    },
     Claim {
         search: usize,
         place: trial::Place,
@@ -215,6 +220,11 @@
                 self.reply(search, attempt, outcome);
             }
             Event::Received { coordinator, mark } => self.receive(coordinator, &mark),
+            Event::Inquiry {
+                coordinator,
+                upstream,
+                asked,
+            } => self.inquiry(coordinator, &upstream, asked),
             Event::Claim { search, place } => self.claim(search, place),
             Event::Wake { search } => self.handle(search, gather::Event::Tick),
             Event::Cancel { attempt } => self.cancel(attempt),
@@ -316,6 +326,7 @@
                 return Some(gather::Event::Verdict(self.verdict(search)));
             }
             gather::Action::Completed => self.complete(search),
+            gather::Action::Inquire { upstreams, .. } => self.inquire(search, upstreams),
             gather::Action::RequestTrial(place) => {
                 let delay = self.rng.random_range(1_000..6_000);
                 self.after(delay, Event::Claim { search, place });
--- a/crates/geraniumgauge/src/quarantine/tests/simulation/properties.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/simulation/properties.rs
@@ -126,6 +126,34 @@
     }
 }
 
+/// One replica of each of 8 shards restarts while searches run, and no further ones
+/// come. Guards against a new query that is answered as quarantined, because only
+/// another search's call would have shown that the replicas are back.
+#[test]
+fn simultaneous_restarts_quarantine_no_query_on_a_quiet_vm() {
+    for seed in 0..40 {
+        let mut world = World::new(seed, 8, 2, 1);
+        world.outage = time::Duration::from_millis(300);
+        let start = |query: u64| Event::Start {
+            coordinator: 0,
+            query: 1000 + query,
+        };
+        let known = 0;
+        world.after(0, start(known));
+        for _ in 0..8 {
+            world.after(300_000, start(known));
+        }
+        world.after(300_000, start(1 + seed));
+        world.rack = (0..8).map(|shard| format!("u-{shard}-0")).collect();
+        world.after(303_000, Event::RackFails);
+        world.run();
+        let new = world.searches.iter();
+        let mut new = new.filter(|search| search.fingerprint.0 != 1000 + known);
+        let answer = new.next().and_then(|search| search.answer.as_ref());
+        assert!(answer.unwrap().coverage.complete, "seed {seed}: {answer:?}");
+    }
+}
+
 /// Seeds that once lost a third upstream or two of one shard: canaries continued
 /// after another coordinator's canary of the query had crashed an upstream, and a
 /// crash during a cancelled canary wasn't counted.
--- a/crates/geraniumgauge/src/quarantine/tests/simulation/upstreams.rs
+++ b/crates/geraniumgauge/src/quarantine/tests/simulation/upstreams.rs
@@ -58,6 +58,32 @@
         }
     }
 
+    /// Asks about upstreams for a search.
+    pub(super) fn inquire(&mut self, search: usize, upstreams: Vec<ids::Upstream>) {
+        for upstream in upstreams {
+            let inquiry = Event::Inquiry {
+                coordinator: self.searches[search].coordinator,
+                upstream,
+                asked: self.now,
+            };
+            let delay = self.rng.random_range(500..3_000);
+            self.after(delay, inquiry);
+        }
+    }
+
+    /// Reports whether an upstream answers its home.
+    pub(super) fn inquiry(
+        &mut self,
+        coordinator: usize,
+        upstream: &ids::Upstream,
+        asked: clock::Moment,
+    ) {
+        if !self.is_down(upstream.as_str()) {
+            let stats = self.coordinators[coordinator].upstreams.stats(upstream);
+            stats.record_contact(asked);
+        }
+    }
+
     /// Handles a reply to a search that has ended.
     pub(super) fn late_reply(&mut self, search: usize, reply: &message::Reply) {
         if reply.outcome() == Outcome::Lost {
--- a/crates/geraniumgauge/src/query/admit.rs
+++ b/crates/geraniumgauge/src/query/admit.rs
@@ -170,14 +170,19 @@
         state.plan(in_force, &view, &self.homes, &self.links)
     }
 
+    /// Returns the state of a service, if it has been searched.
+    pub(super) fn known_state(&self, service: &ids::Service) -> Option<sync::Arc<state::State>> {
+        read(&self.states).get(service).cloned()
+    }
+
     /// Returns the state of a service, created at its first search.
     fn service_state(
         &self,
         service: &ids::Service,
         budgets: &document::Budgets,
     ) -> sync::Arc<state::State> {
-        if let Some(known) = read(&self.states).get(service) {
-            return known.clone();
+        if let Some(known) = self.known_state(service) {
+            return known;
         }
         let mut states = self
             .states
--- a/crates/geraniumgauge/src/query/gather/event.rs
+++ b/crates/geraniumgauge/src/query/gather/event.rs
@@ -133,6 +133,14 @@
     },
     /// An upstream has answered the request. Emitted at most once.
     Completed,
+    /// Ask a home when these upstreams, which this VM takes as down, last answered it.
+    /// The report goes to their statistics.
+    Inquire {
+        /// The home.
+        vm: ids::Vm,
+        /// The upstreams.
+        upstreams: Vec<ids::Upstream>,
+    },
     /// Request the isolated trial. [`Event::Granted`] or [`Event::Denied`] must
     /// follow.
     RequestTrial(trial::Place),
--- a/crates/geraniumgauge/src/query/gather/lead.rs
+++ b/crates/geraniumgauge/src/query/gather/lead.rs
@@ -105,7 +105,7 @@
         let used: Vec<u32> = self.attempts.iter().map(|call| call.replica).collect();
         let rank = |replica: &u32| {
             (
-                !self.siblings_up(*replica, &[]),
+                !self.siblings_up(*replica),
                 !self.shares_no_shard(*replica, &used),
                 self.unhealthy(*replica, now),
                 self.rank(self.plan.replica(*replica).id.as_str()),
--- a/crates/geraniumgauge/src/query/gather/mod.rs
+++ b/crates/geraniumgauge/src/query/gather/mod.rs
@@ -164,7 +164,7 @@
             Event::LinkNotOpened(vm) => self.link_not_opened(&vm, now),
             Event::Verdict(verdict) => self.verdict_changed(verdict, now),
             Event::Plan(plan) => self.plan_received(plan, now),
-            Event::Granted(down) => self.trial_granted(&down, now),
+            Event::Granted(down) => self.trial_granted(down, now),
             Event::Denied(after) => self.trial_denied(after, now),
             Event::Tick => {}
         }
--- a/crates/geraniumgauge/src/query/gather/suspect.rs
+++ b/crates/geraniumgauge/src/query/gather/suspect.rs
@@ -2,8 +2,11 @@
 //! hedged nor retried, and continues only after an isolated trial has completed.
 
 use std::cmp;
+use std::collections;
 use std::time;
 
+use rand::seq::IteratorRandom as _;
+
 use super::Action;
 use super::Gather;
 use super::Phase;
@@ -23,7 +26,9 @@
 /// Delay before another request after a trial that wasn't run.
 const TRIAL_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 /// Delay before looking again for a replica whose siblings are all up.
-const TARGET_RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
+const TARGET_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
+/// Upstreams that homes are asked about at once.
+const MAX_INQUIRIES: usize = 8;
 /// A trial needs time for this many typical calls before the deadline: one that
 /// the deadline cuts short proves nothing.
 const MIN_CALLS_LEFT: u32 = 2;
@@ -34,6 +39,8 @@
     state: State,
     requests: u32,
     progress: Progress,
+    /// Upstreams that the marks listed as lost at the last grant.
+    down: Vec<tracker::Down>,
     /// The slot, and the replica's position in its shard, of the last request.
     target: Option<(u32, usize)>,
 }
@@ -161,12 +168,13 @@
             self.give_up_trial();
             return;
         }
-        self.trial.requests += 1;
         let Some((slot, position)) = self.trial_target(now) else {
             self.trial.progress = Progress::NoTarget;
+            self.inquire(now);
             self.delay_trial(now + TARGET_RETRY_DELAY);
             return;
         };
+        self.trial.requests += 1;
         self.trial.state = State::Requested;
         self.trial.progress = Progress::Pending;
         self.trial.target = Some((slot, position));
@@ -174,6 +182,32 @@
         self.outbox.actions.push(Action::RequestTrial(place));
     }
 
+    /// Asks the homes of lost replicas whether these are back. Waiting for other
+    /// searches to call them takes longer than most searches have.
+    fn inquire(&mut self, now: clock::Moment) {
+        let plan = &self.plan;
+        let replicas = self.slots.iter();
+        let replicas = replicas.flat_map(|slot| plan.shard(slot.shard).replicas.iter());
+        let lost = replicas.filter(|replica| !self.is_up(plan.replica(**replica)));
+        let lost: Vec<u32> = lost.copied().collect();
+        let asked = lost
+            .into_iter()
+            .choose_multiple(&mut self.rng, MAX_INQUIRIES);
+        let mut homes: collections::BTreeMap<u32, Vec<ids::Upstream>> =
+            collections::BTreeMap::new();
+        for replica in asked {
+            if let Some(vm) = plan.home(replica, None, now) {
+                let upstream = plan.replica(replica).id.clone();
+                homes.entry(vm).or_default().push(upstream);
+            }
+        }
+        for (vm, upstreams) in homes {
+            let vm = plan.vms[vm as usize].id.clone();
+            let action = Action::Inquire { vm, upstreams };
+            self.outbox.actions.push(action);
+        }
+    }
+
     /// Describes the trial's upstream and its siblings.
     fn trial_place(&self, slot: u32, position: usize) -> trial::Place {
         let replica = self.replica_at(slot, position);
@@ -244,7 +278,7 @@
 
     /// Sends the trial's call, unless circumstances have changed since the
     /// request. `down` are the upstreams that the marks list as lost.
-    pub(super) fn trial_granted(&mut self, down: &[tracker::Down], now: clock::Moment) {
+    pub(super) fn trial_granted(&mut self, down: Vec<tracker::Down>, now: clock::Moment) {
         if self.trial.state != State::Requested {
             self.end_trial(trial::End::NotRun, None);
             return;
@@ -254,12 +288,14 @@
             self.end_trial(trial::End::NotRun, None);
             return;
         }
+        self.trial.down = down;
         let fits = |target: &(u32, usize)| {
             let replica = self.replica_at(target.0, target.1);
-            self.siblings_up(replica, down) && self.ready(replica, now)
+            self.siblings_up(replica) && self.ready(replica, now)
         };
         let Some((slot, position)) = self.trial.target.filter(fits) else {
             self.trial.progress = Progress::Outdated;
+            self.inquire(now);
             self.end_trial(trial::End::NotRun, None);
             self.delay_trial(now + TARGET_RETRY_DELAY);
             return;
@@ -281,7 +317,7 @@
         });
         let fits = |(slot, position): &(u32, usize)| {
             let replica = self.replica_at(*slot, *position);
-            self.siblings_up(replica, &[]) && self.ready(replica, now)
+            self.siblings_up(replica) && self.ready(replica, now)
         };
         let rank = |(slot, position): &(u32, usize)| {
             let entry = &self.slots[*slot as usize];
@@ -302,13 +338,8 @@
     }
 
     /// Returns whether each shard of `replica` has another replica and all of its
-    /// replicas are up, as far as this VM and the marks in `down` show.
-    pub(super) fn siblings_up(&self, replica: u32, down: &[tracker::Down]) -> bool {
-        let up = |upstream: &query::plan::Replica| {
-            let answered = upstream.stats.answered();
-            let mut lost = down.iter().filter(|down| down.upstream == upstream.id);
-            !upstream.stats.down() && lost.all(|down| answered > down.lost)
-        };
+    /// replicas are up.
+    pub(super) fn siblings_up(&self, replica: u32) -> bool {
         let shards = &self.plan.replica(replica).shards;
         let mut siblings = shards
             .iter()
@@ -316,7 +347,16 @@
         let several = shards
             .iter()
             .all(|shard| self.plan.shard(*shard).replicas.len() > 1);
-        several && siblings.all(up)
+        several && siblings.all(|sibling| self.is_up(sibling))
+    }
+
+    /// Returns whether the replica is up, as far as this VM and the marks at the last
+    /// grant show.
+    fn is_up(&self, replica: &query::plan::Replica) -> bool {
+        let answered = replica.stats.answered();
+        let down = self.trial.down.iter();
+        let mut lost = down.filter(|down| down.upstream == replica.id);
+        !replica.stats.down() && lost.all(|down| answered > down.lost)
     }
 
     /// Handles a completed trial, which clears the request.
--- a/crates/geraniumgauge/src/query/gather/tests/world.rs
+++ b/crates/geraniumgauge/src/query/gather/tests/world.rs
@@ -234,7 +234,9 @@
                 return Some(gather::Event::Verdict(quarantine::Verdict::Clear));
             }
             gather::Action::RequestTrial(_) => return Some(gather::Event::Denied(None)),
-            gather::Action::EndTrial { .. } | gather::Action::Completed => {}
+            gather::Action::EndTrial { .. }
+            | gather::Action::Inquire { .. }
+            | gather::Action::Completed => {}
             gather::Action::Replan => {
                 let plan = self.next_plan.clone().unwrap_or_else(|| self.plan.clone());
                 return Some(gather::Event::Plan(Some(plan)));
--- a/crates/geraniumgauge/src/query/replica.rs
+++ b/crates/geraniumgauge/src/query/replica.rs
@@ -222,6 +222,16 @@
         }
     }
 
+    /// Records that the replica has answered its home something that was sent at
+    /// `sent` or later. It is up again if it was lost before.
+    pub fn record_contact(&self, sent: clock::Moment) {
+        self.last_answer.fetch_max(sent.0, ORDER);
+        if self.down() && sent.0 > self.last_loss.load(ORDER) {
+            self.losses.store(0, ORDER);
+            self.avoid_until.store(0, ORDER);
+        }
+    }
+
     /// Records a failed call.
     pub fn record_failure(
         &self,
--- a/crates/geraniumgauge/src/query/service.rs
+++ b/crates/geraniumgauge/src/query/service.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 use opentelemetry::metrics;
 use tokio::sync::watch;
@@ -148,6 +149,23 @@
         }
     }
 
+    /// Handles a home's answer to an inquiry.
+    pub fn report(&self, report: &message::Report) {
+        let service = report.service.parse().ok();
+        let Some(state) = service.and_then(|service| self.inner.known_state(&service)) else {
+            return;
+        };
+        // Sent at the inquiry at the latest: the answer may have been long under way.
+        let asked = clock::Moment(report.asked_us).min(self.inner.clock.now());
+        for answered in &report.answered {
+            let stats = answered.upstream.parse().ok();
+            let stats = stats.and_then(|upstream| state.upstreams.known_stats(&upstream));
+            if let Some(stats) = stats {
+                stats.record_contact(asked.before(time::Duration::from_micros(answered.age_us)));
+            }
+        }
+    }
+
     /// Handles the loss of the link to a VM.
     pub fn link_lost(&self, vm: &ids::Vm) {
         self.inner.links.get(vm).record_loss(self.inner.clock.now());
--- a/crates/geraniumgauge/src/query/task.rs
+++ b/crates/geraniumgauge/src/query/task.rs
@@ -171,6 +171,7 @@
                     .quarantine
                     .completed(&context.service, context.fingerprint);
             }
+            gather::Action::Inquire { vm, upstreams } => self.inquire(&vm, &upstreams),
             gather::Action::RequestTrial(place) => self.request_trial(place),
             gather::Action::EndTrial { end, upstream } => {
                 if let Some(trial) = self.trial.granted.take() {
@@ -228,6 +229,20 @@
         }
     }
 
+    /// Asks a home when upstreams last answered it. The report goes to the statistics
+    /// of the upstreams, which the search reads when it looks for a trial's upstream
+    /// again.
+    fn inquire(&self, vm: &ids::Vm, upstreams: &[ids::Upstream]) {
+        let inquiry = message::Inquiry {
+            service: self.context.service.to_string(),
+            asked_us: self.owner.clock.now().0,
+            upstreams: upstreams.iter().map(ids::Upstream::to_string).collect(),
+        };
+        if let Err(error) = self.owner.mesh.send(vm, message::Body::Inquiry(inquiry)) {
+            log::debug!("failed to ask {vm} when upstreams last answered: {error}");
+        }
+    }
+
     /// Requests the trial in the background; the search continues meanwhile.
     fn request_trial(&self, place: trial::Place) {
         let quarantine = self.owner.quarantine.clone();
--- a/crates/geraniumgauge/src/query/upstreams.rs
+++ b/crates/geraniumgauge/src/query/upstreams.rs
@@ -115,6 +115,11 @@
         stats
     }
 
+    /// Returns the statistics of `upstream`, if there are any.
+    pub fn known_stats(&self, upstream: &ids::Upstream) -> Option<sync::Arc<replica::Stats>> {
+        lock(&self.replicas).get(upstream).cloned()
+    }
+
     /// Removes the statistics of upstreams that `keep` rejects.
     pub fn retain(&self, keep: impl Fn(&ids::Upstream) -> bool) {
         lock(&self.replicas).retain(|upstream, _| keep(upstream));
--- a/crates/geraniumgauge/src/vm/dispatch.rs
+++ b/crates/geraniumgauge/src/vm/dispatch.rs
@@ -59,6 +59,8 @@
                 targets.broadcast.relay(&mark);
                 targets.quarantine.receive_mark(&mark);
             }
+            message::Body::Inquiry(inquiry) => targets.home.inquiry(from, inquiry),
+            message::Body::Report(report) => targets.query.report(&report),
             message::Body::Bye(_)
             | message::Body::Hello(_)
             | message::Body::Heartbeat(_)
