--- a/crates/geraniumgauge/src/query/gather/calls.rs
+++ b/crates/geraniumgauge/src/query/gather/calls.rs
@@ -170,8 +170,9 @@
     /// Chooses the replica to call for `slot` and returns its position in the
     /// shard. Excludes the positions in the bit mask `excluded` and replicas known to
     /// lack the pinned version, prefers replicas that aren't avoided and have a home
-    /// that isn't, and takes the less loaded of two random candidates. Under [`query::Policy::Direct`] the
-    /// eligible replicas are taken in turn instead, avoided or not.
+    /// that isn't, and takes the less loaded of two random candidates. Under
+    /// [`query::Policy::Direct`] the eligible replicas are taken in turn instead,
+    /// avoided or not.
     pub(super) fn choose(&mut self, slot: u32, excluded: u64, now: clock::Moment) -> Option<usize> {
         let shard = self.plan.shard(self.slots[slot as usize].shard);
         let mut eligible = 0;
