--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -50,6 +50,7 @@
         .level_for("geraniumgauge_standin::measure", log::LevelFilter::Info)
         .format(|out, message, record| {
             let mut pairs = String::new();
+            // Writing to a string can't fail.
             let _ = record.key_values().visit(&mut Pairs(&mut pairs));
             let now = humantime::format_rfc3339_millis(std::time::SystemTime::now());
             let thread = std::thread::current();
@@ -60,7 +61,7 @@
     let _ = warnings.apply();
 }
 
-/// Collects key-values as text.
+/// Writes key-values behind the message of a log line.
 struct Pairs<'t>(&'t mut String);
 
 impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_> {
