crash-query runs within the limit of open files, the product first

Cause: the baseline ran first. In it every VM calls every upstream itself and opens, of the 25 connections that an upstream accepts, its share of 12%: two for calls and one for control. Both ends are in one process: 960 upstreams by 8 VMs by two to three connections need 30,720 descriptors or more, of the 20,000 that a process may have here. The message named only the VM that couldn't open its links.

Change: the scenario's policy runs before the baseline, and what it breaks is logged at once. In the baseline an upstream accepts 16 connections, of which a VM's share is one (15,360 descriptors at 960 upstreams); it sends fewer than one search a second per VM there. The product's cases, checks and bounds are as before. A site that isn't ready says how many files are open, and what to do if that is the cause.

--- a/crates/standin/src/measure/crash_query.rs
+++ b/crates/standin/src/measure/crash_query.rs
@@ -39,6 +39,10 @@
 const SEND_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Searches of each kind from which the cost of a canary is computed.
 const COST_SEARCHES: usize = 60;
+/// Connections that an upstream accepts in the baseline, in which every VM opens as many
+/// to every upstream as its share allows: here one. With more, the largest site would
+/// need more open files than a process may have.
+const BASELINE_CONNECTIONS: u32 = 2 * site::VM_COUNT as u32;
 const RESTART_MS: u64 = 1500;
 /// Time by which the crashed upstreams are in use again, from the start of the load.
 const RECOVERED_AT: time::Duration = time::Duration::from_millis(6500);
@@ -57,10 +61,13 @@
     shards: usize,
     replicas: usize,
 ) -> Result<outcome::Outcome, measure::Error> {
-    let spec = site::Spec {
+    let mut spec = site::Spec {
         replicas,
         ..site::Spec::small(SERVICE, shards)
     };
+    if context.policy == query::Policy::Direct {
+        spec.connections = BASELINE_CONNECTIONS;
+    }
     let site = context.site(spec).await?;
     let service = site.service(SERVICE);
     service.set_faults(|faults| faults.restart_ms = RESTART_MS);
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -131,16 +131,23 @@
         .copied()
 }
 
-/// Runs the scenario under its baseline policy, if it has one, and then under the
-/// policy of `context`.
+/// Runs the scenario under the policy of `context` and then under its baseline policy, if
+/// it has one. What the first run breaks is logged before the baseline starts, so that it
+/// is known even if the baseline can't run.
 ///
 /// # Errors
 /// Returns an error if the site or a client can't be set up or used.
 pub async fn run(scenario: Scenario, context: Context) -> Result<Report, Error> {
+    let outcome = (scenario.run)(context).await?;
+    for violation in &outcome.violations {
+        log::warn!(
+            request = violation.request_id.as_str();
+            "{} breaks a promise, {}: {}", scenario.name, violation.promise, violation.seen
+        );
+    }
     let baseline = match scenario.baseline {
         Some(policy) => Some((policy, (scenario.run)(Context { policy, ..context }).await?)),
         None => None,
     };
-    let outcome = (scenario.run)(context).await?;
     Ok(Report::new(scenario.name, context, baseline, outcome))
 }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -4,12 +4,14 @@
 //! frozen like a paused machine.
 
 mod balancer;
+mod open_files;
 mod preset;
 mod running_vm;
 mod service;
 mod upstreams;
 
 pub use balancer::Balancer;
+pub use open_files::OpenFiles;
 pub use preset::Preset;
 pub use preset::VM_COUNT;
 pub use running_vm::RunningVm;
@@ -46,11 +48,13 @@
     Vm(vm::Error),
     /// A VM wasn't ready in time.
     #[from(ignore)]
-    #[display("{vm} isn't ready after {} s", READY_TIMEOUT.as_secs())]
+    #[display("{vm} isn't ready after {} s; {open_files}", READY_TIMEOUT.as_secs())]
     #[error(ignore)]
     NotReady {
         /// The VM.
         vm: ids::Vm,
+        /// The files that were open then.
+        open_files: OpenFiles,
     },
 }
 
@@ -162,6 +166,7 @@
                 if tokio::time::Instant::now() > deadline {
                     return Err(Error::NotReady {
                         vm: vm.id().clone(),
+                        open_files: OpenFiles::count(),
                     });
                 }
                 tokio::time::sleep(time::Duration::from_millis(20)).await;
