The stand-in upstream counts the loss of one process once

What was seen: crash-query broke "at most two upstreams lost to one request" with "3 crashes of 2 upstreams".

Cause: a process that has crashed went on running requests until its tasks were stopped, and each crash request among them counted as a loss. A request could be admitted after the crash, too.

Evidence: each crash is now logged with the id of its call.

Change: a process that is gone runs nothing. Its loss counts under the request that caused it. The check of crash-query is as it was.

--- a/crates/standin/src/upstream/routes.rs
+++ b/crates/standin/src/upstream/routes.rs
@@ -354,7 +354,17 @@
         state.count(|counts| counts.started += 1);
     }
     if job.crashes() {
-        state.crash();
+        let crashed = state.crash_under(&job.id);
+        let fate = if crashed {
+            "crashes"
+        } else {
+            "was gone before"
+        };
+        log::warn!(
+            upstream = state.config.id.as_str(),
+            call = job.id.as_str();
+            "upstream {} {fate} under call {}", state.config.id, job.id
+        );
         return End::Crashed;
     }
     tokio::select! {
--- a/crates/standin/src/upstream/state.rs
+++ b/crates/standin/src/upstream/state.rs
@@ -177,9 +177,27 @@
             .map(|since| since.elapsed())
     }
 
-    /// Crashes the simulated process: all its requests and connections end at once.
+    /// Crashes the simulated process: all its requests and connections end at once. Does
+    /// nothing if it has crashed and not yet restarted.
     pub fn crash(&self) {
-        let mut process = lock(&self.process);
+        let process = lock(&self.process);
+        if !process.stop.is_cancelled() {
+            self.end(process);
+        }
+    }
+
+    /// Crashes the simulated process under one of its requests. Returns false if the
+    /// request's process is gone, which runs nothing any more.
+    pub(super) fn crash_under(&self, id: &str) -> bool {
+        let process = lock(&self.process);
+        let runs = !process.stop.is_cancelled() && process.requests.contains_key(id);
+        if runs {
+            self.end(process);
+        }
+        runs
+    }
+
+    fn end(&self, mut process: sync::MutexGuard<'_, Process>) {
         let cut = process.requests.len() as u64;
         process.requests.clear();
         process.connections = 0;
