Log canaries, trials and lost connections with their call

A third upstream lost to one request couldn't be traced: no line told which call crashed it, at which VM, and what that VM knew. Each canary and trial now logs its upstream, home, attempt and the verdict at that moment; a home logs each connection lost during a call, a VM each such loss that it learns of, also after the search's end, and each mark that changes its verdict, with its age. All at debug but the home's, which is as rare as the losses.

--- a/crates/geraniumgauge/src/home/worker.rs
+++ b/crates/geraniumgauge/src/home/worker.rs
@@ -233,11 +233,18 @@
         job: state::Job,
         time_left: time::Duration,
     ) {
+        let (id, upstream) = (job.upstream_id(), job.upstream.clone());
         let reply_started = || self.handle(state::Event::ReplyStarted(connection_id));
         let reply = match connection {
             None => upstream::Reply::bare(upstream::Outcome::Unsent),
             Some(connection) => send(&connection, &job, time_left, reply_started).await,
         };
+        if reply.outcome == upstream::Outcome::Lost {
+            log::info!(
+                call = id.as_str();
+                "connection to upstream {upstream} lost during a call"
+            );
+        }
         self.handle(state::Event::Finished {
             connection_id,
             reply,
--- a/crates/geraniumgauge/src/quarantine/service.rs
+++ b/crates/geraniumgauge/src/quarantine/service.rs
@@ -235,8 +235,14 @@
     fn receive(&self, mark: quarantine::Mark) {
         let before = self.verdict(&mark.service, mark.fingerprint);
         let (service, fingerprint) = (mark.service.clone(), mark.fingerprint);
+        let age = self.inner.clock.wall().since(clock::Wall(mark.version));
         self.handle(tracker::Event::Received(mark));
-        if self.verdict(&service, fingerprint) != before {
+        let after = self.verdict(&service, fingerprint);
+        if after != before {
+            log::debug!(
+                age_ms = clock::millis(age);
+                "learns that request {fingerprint} of service {service} is now {after}"
+            );
             self.notify_change();
         }
     }
--- a/crates/geraniumgauge/src/query/admit.rs
+++ b/crates/geraniumgauge/src/query/admit.rs
@@ -202,6 +202,11 @@
         let Some(ended) = self.router.find_ended(reply.attempt) else {
             return;
         };
+        log::debug!(
+            fingerprint = ended.fingerprint.0,
+            attempt = reply.attempt;
+            "learns after a search's end of a connection to {} lost during a call", reply.upstream
+        );
         let guarded = self.config.policy != Policy::Direct;
         if let (true, Ok(upstream)) = (guarded, reply.upstream.parse()) {
             self.quarantine
--- a/crates/geraniumgauge/src/query/task.rs
+++ b/crates/geraniumgauge/src/query/task.rs
@@ -109,6 +109,7 @@
         match input {
             Input::Replies(from, replies) => {
                 self.check_queue_times(&replies);
+                self.log_losses(&from, &replies);
                 gather::Event::Replies { from, replies }
             }
             Input::LinkLost(vm) => gather::Event::LinkLost(vm),
@@ -195,6 +196,7 @@
         layout: ids::LayoutVersion,
         calls: Vec<message::Call>,
     ) -> Effect {
+        self.log_single_calls(vm, &calls);
         let isolated = |call: &message::Call| call.kind() == message::Kind::Trial;
         if calls.iter().any(isolated)
             && let Some(trial) = &mut self.trial.granted
@@ -271,6 +273,39 @@
             .verdict(&context.service, context.fingerprint)
     }
 
+    /// Logs canaries and trials, each of which may crash an upstream, so that a loss can
+    /// be traced to the call and to what this VM knew when it sent it.
+    fn log_single_calls(&self, vm: &ids::Vm, calls: &[message::Call]) {
+        let single = |kind| matches!(kind, message::Kind::Canary | message::Kind::Trial);
+        for call in calls.iter().filter(|call| single(call.kind())) {
+            let now = self.owner.clock.now();
+            log::debug!(
+                request = self.context.request.as_str(),
+                service = self.context.service.as_str(),
+                fingerprint = self.context.fingerprint.0,
+                attempt = call.attempt,
+                started_ms = clock::millis(now.since(self.context.started));
+                "sends a {:?} to {} via {vm}, verdict {}",
+                call.kind(), call.upstream, self.verdict()
+            );
+        }
+    }
+
+    /// Logs lost connections.
+    fn log_losses(&self, from: &ids::Vm, replies: &[message::Reply]) {
+        let lost = replies
+            .iter()
+            .filter(|reply| reply.outcome() == message::Outcome::Lost);
+        for reply in lost {
+            log::debug!(
+                request = self.context.request.as_str(),
+                attempt = reply.attempt,
+                ran_us = reply.upstream_us;
+                "learns from {from} of a connection to {} lost during a call", reply.upstream
+            );
+        }
+    }
+
     /// Logs an answer without some of its shards, and what was done for them.
     fn log(&self, answer: &query::Answer) {
         if answer.coverage.complete {
