--- a/crates/geraniumgauge/src/home/guard.rs
+++ b/crates/geraniumgauge/src/home/guard.rs
@@ -54,11 +54,10 @@
     }
 }
 
-/// The guard of one VM's homes; without one, nothing is guarded.
-#[derive(Clone, Default)]
-pub(super) struct Optional(pub(super) Option<sync::Arc<dyn Guard>>);
+/// The way to the guard of one VM's homes; `None` in the baseline, which has no guard.
+pub(super) struct Handle(pub(super) Option<sync::Arc<dyn Guard>>);
 
-impl Optional {
+impl Handle {
     /// Returns whether the call may be sent.
     pub(super) fn admits(&self, job: &state::Job) -> bool {
         let Some((guard, (service, fingerprint))) = self.0.as_ref().zip(request(job)) else {
--- a/crates/geraniumgauge/src/home/service.rs
+++ b/crates/geraniumgauge/src/home/service.rs
@@ -88,7 +88,7 @@
             outbox,
             instruments: instruments::Instruments::new(meter),
             calls: worker::Calls::default(),
-            guard: guard::Optional((!config.direct).then_some(guard)),
+            guard: guard::Handle((!config.direct).then_some(guard)),
         };
         let placement = match config.direct {
             true => placement::Cache::direct(),
--- a/crates/geraniumgauge/src/home/worker.rs
+++ b/crates/geraniumgauge/src/home/worker.rs
@@ -29,7 +29,7 @@
     pub(super) outbox: sync::Arc<outbox::Outbox>,
     pub(super) instruments: instruments::Instruments,
     pub(super) calls: Calls,
-    pub(super) guard: guard::Optional,
+    pub(super) guard: guard::Handle,
 }
 
 /// Maps each call to the worker that holds it, for cancellation.
