--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -37,9 +37,10 @@
     code
 }
 
-/// Logs warnings to standard error, and what VMs say of incomplete answers, members and
-/// links. A VM's lines have its name, which is that of its thread. Must run before rocket starts, which would otherwise
-/// install its own logger.
+/// Logs warnings to standard error, and what VMs say of incomplete answers, canaries,
+/// marks, lost connections, members and links. A VM's lines have its name, which is that
+/// of its thread. Must run before rocket starts, which would otherwise install its own
+/// logger.
 fn init_logging() {
     let warnings = fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
