Log lines name the program's sources; extra calls say how full their budget is

The users' record couldn't tell which program it was of, nor how full any budget was: its lines are cut off before the fields that would have said it. The first field of an extra call is the state of its budget: what has arrived in the last window, what is in transit, what is allowed. A settled charge says what showed that its call has arrived. New gauge: edge_extra_budget_used, by service.

--- a/crates/geraniumgauge/src/edge/instruments.rs
+++ b/crates/geraniumgauge/src/edge/instruments.rs
@@ -19,6 +19,7 @@
     connections: metrics::Counter<u64>,
     missing_shards: metrics::Counter<u64>,
     extra_sent: metrics::Counter<u64>,
+    extra_used: metrics::Gauge<f64>,
     extra_arrived: metrics::Counter<u64>,
     extra_not_made: metrics::Counter<u64>,
     frame_late: metrics::Histogram<f64>,
@@ -62,6 +63,10 @@
                 "edge_extra_calls_sent",
                 "Extra calls charged to this VM, by service",
             ),
+            extra_used: meter
+                .f64_gauge("edge_extra_budget_used")
+                .with_description("Extra calls charged to a budget of this VM in the last window, as a share of those it may spend, by service")
+                .build(),
             extra_arrived: counter(
                 "edge_extra_calls_arrived",
                 "Extra calls charged to this VM that are known to have arrived, by service",
@@ -88,10 +93,13 @@
         self.missing_shards.add(shards as u64, &[]);
     }
 
-    /// Counts an extra call that is charged to this VM.
-    pub fn extra_call_sent(&self, service: &ids::Service) {
-        self.extra_sent
-            .add(1, &[KeyValue::new("service", service.to_string())]);
+    /// Counts an extra call that is charged to this VM, and records how full its budget is.
+    pub fn extra_call_sent(&self, service: &ids::Service, usage: Option<forward::Usage>) {
+        let service = [KeyValue::new("service", service.to_string())];
+        self.extra_sent.add(1, &service);
+        if let Some(usage) = usage {
+            self.extra_used.record(usage.window.used(), &service);
+        }
     }
 
     /// Counts an extra call charged to this VM that is known to have arrived.
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -158,7 +158,8 @@
             "can't connect to upstream"
         );
         if error.kind() == io::ErrorKind::ConnectionRefused {
-            self.fleet.upstream_gone(connection.upstream, now);
+            self.fleet
+                .upstream_gone(connection.upstream, "connection refused", now);
         }
         self.fleet.health(connection.upstream).unreachable(now);
         self.report_crash_suspects(connection.upstream, now);
@@ -346,7 +347,7 @@
                 registry::Change::Draining(upstream) => self.stop_using(upstream, now),
                 registry::Change::Gone(upstream) => {
                     self.stop_using(upstream, now);
-                    self.fleet.upstream_gone(upstream, now);
+                    self.fleet.upstream_gone(upstream, "registration gone", now);
                 }
                 registry::Change::Vanished(_) | registry::Change::Returned(_) => {}
             }
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -11,6 +11,7 @@
 
 use std::cell;
 use std::collections;
+use std::fmt;
 use std::rc;
 use std::time;
 
@@ -344,12 +345,19 @@
     }
 
     /// Logs a call unless it is the first one for its part.
-    fn log_extra_call(&self, message: &call::Message, send: &forward::Send, now: clock::Moment) {
+    fn log_extra_call(
+        &mut self,
+        message: &call::Message,
+        send: &forward::Send,
+        now: clock::Moment,
+    ) {
         if send.reason == forward::CallReason::First {
             return;
         }
+        let usage = self.fleet.extra_usage(send.call, now);
         let entry = &self.fleet.registry.get(send.upstream).entry;
         log::info!(
+            budget:% = OrDash(usage),
             request = message.id.as_str(), service = entry.service.as_str(),
             upstream = entry.id.as_str(), why:% = send.reason, payer:% = send.charged_vm,
             left_ms = now.until(message.deadline).as_millis() as u64,
@@ -358,7 +366,7 @@
             "extra call"
         );
         if send.is_extra && send.charged_vm == forward::ChargedVm::Own {
-            self.instruments.extra_call_sent(&entry.service);
+            self.instruments.extra_call_sent(&entry.service, usage);
         }
     }
 
@@ -368,6 +376,18 @@
     }
 }
 
+/// Displays a value, or a dash in place of none.
+struct OrDash<T>(Option<T>);
+
+impl<T: fmt::Display> fmt::Display for OrDash<T> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(formatter),
+            None => formatter.write_str("-"),
+        }
+    }
+}
+
 fn verdict_name(verdict: &forward::Verdict) -> &'static str {
     match verdict {
         forward::Verdict::Good(_) => "good",
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -187,7 +187,7 @@
             if !self.fleet.take_extra_for_other(upstream, id, &earlier, now) {
                 return Err(frame::End::new(requested.id, frame::How::NoBudget));
             }
-            self.log_charge(message, upstream, now);
+            self.log_charge(message, upstream, id, now);
         }
         if let Some(batch) = self.peers.batches.get_mut(&batch) {
             batch.pending.insert(requested.id, id);
@@ -212,16 +212,24 @@
     }
 
     /// Logs and counts an extra call of a requester that is charged to this VM.
-    fn log_charge(&self, message: &call::Message, upstream: registry::Handle, now: clock::Moment) {
+    fn log_charge(
+        &mut self,
+        message: &call::Message,
+        upstream: registry::Handle,
+        call: ids::Attempt,
+        now: clock::Moment,
+    ) {
+        let usage = self.fleet.extra_usage(call, now);
         let entry = &self.fleet.registry.get(upstream).entry;
         log::info!(
+            budget:% = state::OrDash(usage),
             request = message.id.as_str(), service = entry.service.as_str(),
             upstream = entry.id.as_str(),
             vm_age_ms = now.since(clock::Moment::default()).as_millis() as u64,
             vms = self.fleet.vms(), vms_known = self.relays.known_vms();
             "extra call charged for another VM"
         );
-        self.instruments.extra_call_sent(&entry.service);
+        self.instruments.extra_call_sent(&entry.service, usage);
     }
 
     /// Returns the upstreams with these ids that this VM knows.
--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -29,7 +29,6 @@
 /// Shares of the fleet's allowance that a VM spends.
 #[derive(Clone, Copy, PartialEq)]
 #[derive(derive_more::Debug)]
-#[debug("Parts {{ own: {own:?}, lent: {lent:?}, may_ask: {may_ask:?} }}")]
 pub struct Shares {
     /// Share for this VM's own calls.
     own: budget::Share,
@@ -104,10 +103,13 @@
 
 /// The budgets that a VM holds for extra calls to a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 enum Payer {
     /// The budget for the VM's own calls.
+    #[display("own")]
     Own,
     /// The budget for its own and other VMs' calls.
+    #[display("shared")]
     Shared,
 }
 
@@ -119,6 +121,16 @@
     payer: Payer,
 }
 
+/// How full the last window of one of this VM's budgets is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(derive_more::Display)]
+#[display("{payer} {window}")]
+pub struct Usage {
+    payer: Payer,
+    /// The extra calls of the window and those that the budget may spend in it.
+    pub window: budget::Usage,
+}
+
 /// Permission for an extra call of this VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Grant {
@@ -167,7 +179,7 @@
     /// its start.
     pub fn set_shares(&mut self, shares: Shares, now: clock::Moment) {
         if self.shares != shares {
-            log::info!(before:? = self.shares, parts:? = shares; "shares of the extra call allowance changed");
+            log::info!(before:? = self.shares, shares:? = shares; "shares of the extra call allowance changed");
             if self.shares != Shares::of_start() {
                 self.replaced.push_back((now, self.shares));
             }
@@ -271,6 +283,25 @@
         self.charged(charge, forward::Budget::refund);
     }
 
+    /// Returns how full the last window of a charge's budget is.
+    pub fn usage(
+        &mut self,
+        charge: &Charge,
+        policy: &forward::Policy,
+        now: clock::Moment,
+    ) -> Usage {
+        let shares = self.usable_shares(false, policy, now);
+        let (budgets, share) = match charge.payer {
+            Payer::Own => (&mut self.own, shares.own),
+            Payer::Shared => (&mut self.shared, shares.lent.unwrap_or_default()),
+        };
+        let window = budgets.of(&charge.service, |budget| budget.usage(policy, share, now));
+        Usage {
+            payer: charge.payer,
+            window,
+        }
+    }
+
     fn charged(&mut self, charge: &Charge, change: impl FnOnce(&mut forward::Budget)) {
         let budgets = match charge.payer {
             Payer::Own => &mut self.own,
--- a/crates/geraniumgauge/src/forward/budget.rs
+++ b/crates/geraniumgauge/src/forward/budget.rs
@@ -20,9 +20,7 @@
 const USABLE_SHARE: f64 = 0.97;
 
 /// Share of the fleet's allowance that one budget may spend.
-#[derive(Clone, Copy, PartialEq)]
-#[derive(derive_more::Debug)]
-#[debug("Part {{ fixed: {fixed:?}, share: {proportional:?} }}")]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Share {
     /// This budget's fraction of [`forward::Policy::extra_calls`], which are allowed
     /// at any load.
@@ -51,6 +49,26 @@
     }
 }
 
+/// How full the last window of a budget is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(derive_more::Display)]
+#[display("{arrived}+{in_transit}/{allowed:.1}")]
+pub struct Usage {
+    /// Number of extra calls that have arrived within the window.
+    pub arrived: u32,
+    /// Number of extra calls that may still arrive.
+    pub in_transit: u32,
+    /// Number of extra calls that the budget may spend in the window.
+    pub allowed: f64,
+}
+
+impl Usage {
+    /// Returns the extra calls of the window as a share of those allowed.
+    pub fn used(&self) -> f64 {
+        f64::from(self.arrived + self.in_transit) / self.allowed.max(f64::MIN_POSITIVE)
+    }
+}
+
 /// Counts one service's requests and extra calls over two windows.
 ///
 /// Guards against retry storms, in which a slow or refusing service draws more
@@ -129,6 +147,22 @@
         self.in_transit = self.in_transit.saturating_sub(1);
     }
 
+    /// Returns how full the last window is if the budget has `share` of the allowance.
+    pub fn usage(&mut self, policy: &forward::Policy, share: Share, now: clock::Moment) -> Usage {
+        self.advance(policy.extra_window, now);
+        let sum = |counts: &[u32; BUCKETS], ages: std::ops::Range<usize>| -> u32 {
+            ages.map(|age| counts[self.index(age)]).sum()
+        };
+        let ratio = policy.extra_share.get() * share.proportional;
+        let requests = f64::from(sum(&self.requests, 0..2 * WINDOW_BUCKETS));
+        let allowed = ratio * requests / 2.0 + policy.extra_calls * share.fixed;
+        Usage {
+            arrived: sum(&self.extras, 0..WINDOW_BUCKETS),
+            in_transit: self.in_transit,
+            allowed: USABLE_SHARE * allowed,
+        }
+    }
+
     /// Returns whether an extra call may be made now.
     fn has_capacity(&mut self, policy: &forward::Policy, share: Share, now: clock::Moment) -> bool {
         self.advance(policy.extra_window, now);
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -43,6 +43,17 @@
         }
     }
 
+    /// Returns how full the budget is that the extra call `call` was charged to; `None` if
+    /// no budget of this VM is charged for it.
+    pub fn extra_usage(
+        &mut self,
+        call: ids::Attempt,
+        now: clock::Moment,
+    ) -> Option<forward::Usage> {
+        let charge = self.transit.charge(call)?.clone();
+        Some(self.allowance.usage(&charge, &self.policy, now))
+    }
+
     /// Handles the end of a call that began at `began`: settles its charge, and those
     /// of calls for which its reply shows that they have arrived.
     pub fn call_ended(
@@ -64,7 +75,7 @@
             forward::Verdict::Good(_) | forward::Verdict::Failure(_) | forward::Verdict::NotRun => {
                 self.upstream_answered(upstream, began, now);
             }
-            forward::Verdict::Misdirected => self.upstream_gone(upstream, now),
+            forward::Verdict::Misdirected => self.upstream_gone(upstream, "misdirected", now),
             _ => {}
         }
     }
@@ -91,16 +102,22 @@
     ) {
         self.contact(upstream).answered(now);
         let settled = self.transit.answered(upstream, began);
-        self.log_settled(upstream, &settled);
+        self.log_settled(upstream, "reply", &settled);
         self.settle(settled, now);
     }
 
     /// Handles the end of an upstream's process: what was sent to it doesn't arrive
     /// any more.
-    pub fn upstream_gone(&mut self, upstream: registry::Handle, now: clock::Moment) {
+    /// `why` is for the log.
+    pub fn upstream_gone(
+        &mut self,
+        upstream: registry::Handle,
+        why: &'static str,
+        now: clock::Moment,
+    ) {
         *self.contact(upstream) = contact::Contact::Answered;
         let settled = self.transit.gone(upstream);
-        self.log_settled(upstream, &settled);
+        self.log_settled(upstream, why, &settled);
         self.settle(settled, now);
     }
 
@@ -126,11 +143,17 @@
         })
     }
 
-    fn log_settled(&self, upstream: registry::Handle, settled: &forward::Settled) {
+    /// Logs that charges were settled by an event at an upstream.
+    fn log_settled(
+        &self,
+        upstream: registry::Handle,
+        because: &'static str,
+        settled: &forward::Settled,
+    ) {
         if !settled.arrived.is_empty() {
             let entry = &self.registry.get(upstream).entry;
             log::info!(
-                upstream = entry.id.as_str(), service = entry.service.as_str(),
+                because = because, upstream = entry.id.as_str(), service = entry.service.as_str(),
                 calls = settled.arrived.len();
                 "extra calls that had been given up are taken as arrived"
             );
--- a/crates/geraniumgauge/src/forward/transit.rs
+++ b/crates/geraniumgauge/src/forward/transit.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Returns the last charge for the extra calls of a call's part.
+    pub fn charge(&self, call: ids::Attempt) -> Option<&forward::Charge> {
+        let group = self.groups.get(self.by_call.get(&call)?)?;
+        group.charges.last()
+    }
+
     /// Handles a call that has arrived or never will.
     pub fn ended(&mut self, call: ids::Attempt) -> Settled {
         let mut settled = Settled::default();
--- a/crates/geraniumgauge/src/logs/mod.rs
+++ b/crates/geraniumgauge/src/logs/mod.rs
@@ -1,7 +1,7 @@
 //! Logs as JSON lines.
 //!
 //! Each record is one line with the fields `time` (RFC 3339, UTC, milliseconds),
-//! `level`, `vm`, `target` and `message`, and one field for each of the record's
+//! `level`, `vm`, `build` (the sources' version), `target` and `message`, and one field for each of the record's
 //! key-values. The id of a request is the key-value `request`, as in
 //! `log::warn!(request = id.as_str(); "shard call lost")`. A key-value with the name
 //! of a fixed field is written as `kv.{name}`.
@@ -10,6 +10,9 @@
 
 pub use bounded::BoundedSink;
 
+/// Identifies the sources that this program was built from.
+pub const SOURCES_VERSION: &str = env!("SOURCES_VERSION");
+
 use std::collections;
 use std::time;
 
@@ -20,6 +23,7 @@
     time: String,
     level: &'static str,
     vm: &'r str,
+    build: &'static str,
     target: &'r str,
     message: String,
     #[serde(flatten)]
@@ -27,7 +31,7 @@
 }
 
 /// Names of the fields that every line has.
-const FIXED_FIELDS: [&str; 5] = ["time", "level", "vm", "target", "message"];
+const FIXED_FIELDS: [&str; 6] = ["time", "level", "vm", "build", "target", "message"];
 
 /// Returns the log line of VM `vm` for `record`, whose formatted text is `message`.
 pub fn format(vm: &str, now: time::SystemTime, message: &str, record: &log::Record<'_>) -> String {
@@ -38,6 +42,7 @@
         time: humantime::format_rfc3339_millis(now).to_string(),
         level: record.level().as_str(),
         vm,
+        build: SOURCES_VERSION,
         target: record.target(),
         message: message.to_owned(),
         rest: pairs.0,
--- a/crates/geraniumgauge/src/logs/tests.rs
+++ b/crates/geraniumgauge/src/logs/tests.rs
@@ -17,6 +17,7 @@
     assert_eq!(json["level"], "WARN");
     assert_eq!(json["kv.level"], "mine");
     assert_eq!(json["vm"], "vm-1");
+    assert_eq!(json["build"], SOURCES_VERSION);
     assert_eq!(json["request"], "r-1");
     assert_eq!(json["message"], "lost \"a\"\nshard");
 }
