An address that another upstream registered isn't called for the one that had it

Callers saw services get more extra calls than allowed, with no budget passed. An upstream that ended keeps its registration for three heartbeats, while its address goes to a replica of another shard after two seconds. A VM then calls the address for the old one, and the call arrives at the new one's service, which the same search calls anyway: an extra arrival that nobody was charged for.

A registration has now its revision of the store, and one that was written later at the same address ends the upstream that had it. A VM that makes a call for another one refuses it for the same reason, unless the requester knows the later registration.

--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -121,6 +121,9 @@
     /// The upstream's service, sent with the address.
     #[prost(string, tag = "5")]
     pub(super) service: String,
+    /// The store's revision of the upstream's registration, sent with the address.
+    #[prost(uint64, tag = "6")]
+    pub(super) revision: u64,
 }
 
 impl Call {
@@ -129,8 +132,10 @@
     pub(super) fn new(id: ids::Attempt, entry: &registry::Entry, described: bool) -> Self {
         let mut address = Vec::new();
         let mut service = String::new();
+        let mut revision = 0;
         if described {
             service = entry.service.to_string();
+            revision = entry.revision.0;
             match entry.address.ip() {
                 net::IpAddr::V4(ip) => address.extend_from_slice(&ip.octets()),
                 net::IpAddr::V6(ip) => address.extend_from_slice(&ip.octets()),
@@ -143,6 +148,7 @@
             address,
             earlier: Vec::new(),
             service,
+            revision,
         }
     }
 
@@ -156,6 +162,7 @@
         Some(registry::Foreign {
             address: net::SocketAddr::new(ip, u16::from_be_bytes(*port)),
             service: self.service.parse().ok()?,
+            revision: ids::Revision(self.revision),
         })
     }
 }
--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -56,6 +56,7 @@
             slots: 2,
             state: registry::State::Ready,
             warm_up: time::Duration::ZERO,
+            revision: ids::Revision(1),
             started_at: clock::Wall(1),
         };
         fleet.registry.put(entry, NOW);
--- a/crates/geraniumgauge/src/forward/tests/world.rs
+++ b/crates/geraniumgauge/src/forward/tests/world.rs
@@ -6,6 +6,7 @@
 
 use crate::forward;
 use crate::h1;
+use crate::ids;
 use crate::rate;
 use crate::registry;
 use crate::route;
@@ -16,8 +17,8 @@
     pub(super) fleet: forward::Fleet,
     pub(super) now: clock::Moment,
     pub(super) sends: Vec<forward::Send>,
-    pub(super) abandoned: Vec<crate::ids::Attempt>,
-    pub(super) silent: Vec<crate::ids::Attempt>,
+    pub(super) abandoned: Vec<ids::Attempt>,
+    pub(super) silent: Vec<ids::Attempt>,
     pub(super) outcome: Option<forward::Outcome>,
 }
 
@@ -50,6 +51,7 @@
                     slots: 2,
                     state: registry::State::Ready,
                     warm_up: time::Duration::ZERO,
+                    revision: ids::Revision(1),
                     started_at: clock::Wall(1),
                 };
                 fleet.registry.put(entry, now);
@@ -136,7 +138,7 @@
     }
 }
 
-pub(super) fn name(service: usize) -> crate::ids::Service {
+pub(super) fn name(service: usize) -> ids::Service {
     format!("s{service}").parse().expect("a name")
 }
 
--- a/crates/geraniumgauge/src/registry/mod.rs
+++ b/crates/geraniumgauge/src/registry/mod.rs
@@ -33,6 +33,8 @@
 /// What a request of another VM says of an upstream that may not be registered here.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Foreign {
+    /// The store's revision of the registration's last change; 0 if it isn't said.
+    pub revision: ids::Revision,
     /// The address at which it accepts calls.
     pub address: net::SocketAddr,
     /// The service that it belongs to.
@@ -77,6 +79,8 @@
     pub state: State,
     /// Time left until the upstream is warmed up.
     pub warm_up: time::Duration,
+    /// The store's revision of the registration's last change.
+    pub revision: ids::Revision,
     /// Start time by the upstream's own clock. The same id with another start
     /// time is another process, which knows nothing of the earlier one's requests.
     pub started_at: clock::Wall,
@@ -104,9 +108,17 @@
     vanished: Option<clock::Moment>,
     /// Set once it gets no more requests for good.
     gone: bool,
+    /// Set once another process has its id or its address.
+    ended: bool,
 }
 
 impl Upstream {
+    /// Whether its process is known to have ended. One that is only gone may be paused and
+    /// read later what was sent to it.
+    pub fn has_ended(&self) -> bool {
+        self.ended
+    }
+
     /// Whether it may be given requests at `now`.
     pub fn eligibility(&self, now: clock::Moment) -> Eligibility {
         if self.gone || self.entry.state == State::Draining {
@@ -133,8 +145,8 @@
     /// The registration is back after it vanished.
     Returned(Handle),
     /// The upstream gets no more requests: it drained and left, its registration
-    /// vanished too long ago, or its id was registered again with another start time,
-    /// address or service.
+    /// vanished too long ago, its id was registered again with another start time,
+    /// address or service, or its address was registered later by another upstream.
     Gone(Handle),
 }
 
@@ -144,6 +156,7 @@
     upstreams: Vec<Upstream>,
     by_id: collections::HashMap<ids::Upstream, Handle>,
     by_service: collections::HashMap<ids::Service, Vec<Handle>>,
+    by_address: collections::HashMap<net::SocketAddr, Handle>,
     /// Upstreams that are known only from other VMs' calls.
     foreign: collections::HashMap<ids::Upstream, Handle>,
 }
@@ -179,13 +192,14 @@
     /// Adds or updates one registration.
     pub fn put(&mut self, entry: Entry, now: clock::Moment) -> Vec<Change> {
         let Some(handle) = self.by_id.get(&entry.id).copied() else {
-            return vec![self.add(entry, now)];
+            return self.add(entry, now);
         };
         let known = &mut self.upstreams[handle.index()];
         let moved = known.entry.address != entry.address || known.entry.service != entry.service;
         if known.entry.started_at != entry.started_at || moved {
-            known.gone = true;
-            return vec![Change::Gone(handle), self.add(entry, now)];
+            let mut changes = vec![self.end(handle)];
+            changes.extend(self.add(entry, now));
+            return changes;
         }
         let mut changes = Vec::new();
         if known.vanished.take().is_some() {
@@ -260,6 +274,11 @@
         self.by_id.get(id).copied()
     }
 
+    /// Returns the upstream that is registered at `address`.
+    pub fn at(&self, address: net::SocketAddr) -> Option<Handle> {
+        self.by_address.get(&address).copied()
+    }
+
     /// Returns the upstream that this VM shall call on behalf of another VM.
     ///
     /// A VM that is cut off from the store doesn't know upstreams that registered
@@ -288,7 +307,17 @@
                 };
             }
         }
-        let Foreign { address, service } = foreign.ok_or(Error::Unknown)?;
+        let Foreign {
+            address,
+            service,
+            revision,
+        } = foreign.ok_or(Error::Unknown)?;
+        if self.at(address).is_some_and(|holder| {
+            let holder = &self.get(holder).entry;
+            holder.id != *id && holder.revision > revision
+        }) {
+            return Err(Error::Leaving);
+        }
         if let Some(known) = self.foreign.get(id).copied()
             && self.get(known).entry.address == address
         {
@@ -302,6 +331,7 @@
             slots: 1,
             state: State::Ready,
             warm_up: time::Duration::ZERO,
+            revision,
             started_at: clock::Wall(0),
         };
         let handle = self.push(entry, now);
@@ -339,15 +369,34 @@
         self.upstreams.len()
     }
 
-    fn add(&mut self, entry: Entry, now: clock::Moment) -> Change {
-        let (id, service) = (entry.id.clone(), entry.service.clone());
+    /// Adds the registration of an unknown upstream, unless its address was registered
+    /// later by another one.
+    fn add(&mut self, entry: Entry, now: clock::Moment) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if let Some(holder) = self.by_address.get(&entry.address).copied() {
+            let held = self.get(holder).entry.revision;
+            if held > entry.revision {
+                return changes;
+            }
+            if held < entry.revision {
+                changes.push(self.end(holder));
+            }
+        }
+        let (id, service, address) = (entry.id.clone(), entry.service.clone(), entry.address);
         self.foreign.remove(&id);
         let handle = self.push(entry, now);
-        if let Some(earlier) = self.by_id.insert(id, handle) {
-            self.unlist(earlier);
-        }
+        self.by_id.insert(id, handle);
+        self.by_address.insert(address, handle);
         self.by_service.entry(service).or_default().push(handle);
-        Change::Registered(handle)
+        changes.push(Change::Registered(handle));
+        changes
+    }
+
+    /// Removes an upstream whose process has ended.
+    fn end(&mut self, handle: Handle) -> Change {
+        self.upstreams[handle.index()].ended = true;
+        self.drop(handle);
+        Change::Gone(handle)
     }
 
     fn push(&mut self, entry: Entry, now: clock::Moment) -> Handle {
@@ -357,6 +406,7 @@
             entry,
             vanished: None,
             gone: false,
+            ended: false,
         });
         handle
     }
@@ -364,10 +414,13 @@
     fn drop(&mut self, handle: Handle) {
         let known = &mut self.upstreams[handle.index()];
         known.gone = true;
-        let id = known.entry.id.clone();
+        let (id, address) = (known.entry.id.clone(), known.entry.address);
         if self.by_id.get(&id) == Some(&handle) {
             self.by_id.remove(&id);
         }
+        if self.by_address.get(&address) == Some(&handle) {
+            self.by_address.remove(&address);
+        }
         self.unlist(handle);
     }
 
--- a/crates/geraniumgauge/src/registry/tests.rs
+++ b/crates/geraniumgauge/src/registry/tests.rs
@@ -9,6 +9,7 @@
         slots: 2,
         state,
         warm_up: time::Duration::ZERO,
+        revision: ids::Revision(1),
         started_at: clock::Wall(born),
     }
 }
@@ -157,6 +158,7 @@
         Err(Error::Unknown)
     );
     let described = Some(Foreign {
+        revision: ids::Revision(0),
         address: new.address,
         service: new.service.clone(),
     });
@@ -195,3 +197,73 @@
     assert_eq!(eligibility(at(5000 + 790)), [Eligibility::LastResort]);
     assert_eq!(eligibility(at(5000 + 810)), [Eligibility::Never]);
 }
+
+/// Returns a registration with another id, at the address of `entry`.
+fn successor(entry: &Entry, revision: u64) -> Entry {
+    Entry {
+        id: "successor".parse().expect("an id"),
+        service: "other".parse().expect("a name"),
+        revision: ids::Revision(revision),
+        ..entry.clone()
+    }
+}
+
+/// Guards against calls to an upstream that has ended, whose address another one has: its
+/// registration stays for three heartbeats more.
+#[test]
+fn an_address_that_is_registered_later_ends_the_upstream_that_had_it() {
+    let earlier = entry(0, 1, State::Ready);
+    let later = successor(&earlier, 2);
+    for listed in [
+        vec![earlier.clone(), later.clone()],
+        vec![later.clone(), earlier.clone()],
+    ] {
+        let mut registry = Registry::default();
+        registry.replace_all(listed, time::Duration::ZERO, at(0));
+        assert!(registry.of(&earlier.service).is_empty());
+        assert_eq!(registry.of(&later.service).len(), 1);
+    }
+    let mut registry = Registry::default();
+    registry.put(earlier.clone(), at(0));
+    let changes = registry.put(later, at(10));
+    assert_eq!(
+        changes,
+        [Change::Gone(Handle(0)), Change::Registered(Handle(1))]
+    );
+    assert!(registry.get(Handle(0)).has_ended());
+}
+
+/// Guards against calls to an ended upstream that a VM makes for another one, which hasn't
+/// heard that its address was given away.
+#[test]
+fn calls_of_other_vms_to_an_address_that_was_given_away_are_refused() {
+    let earlier = entry(0, 1, State::Ready);
+    let mut registry = Registry::default();
+    registry.put(successor(&earlier, 2), at(0));
+    let described = |revision| {
+        Some(Foreign {
+            address: earlier.address,
+            service: earlier.service.clone(),
+            revision: ids::Revision(revision),
+        })
+    };
+    let refused = registry.resolve(&earlier.id, described(1), &earlier.data_centre, at(1));
+    assert_eq!(refused, Err(Error::Leaving));
+    // Here it is this VM that hasn't heard of it yet.
+    let made = registry.resolve(&earlier.id, described(3), &earlier.data_centre, at(1));
+    assert!(made.is_ok());
+}
+
+/// Guards against calls that are taken as arrived when the registration of a paused upstream
+/// lapses.
+#[test]
+fn an_upstream_whose_registration_lapsed_isnt_known_to_have_ended() {
+    let mut registry = Registry::default();
+    registry.put(entry(0, 1, State::Ready), at(0));
+    registry.replace_all(Vec::new(), time::Duration::ZERO, at(1000));
+    assert_eq!(registry.expire(at(3000)), [Change::Gone(Handle(0))]);
+    assert!(!registry.get(Handle(0)).has_ended());
+    registry.put(entry(2, 1, State::Ready), at(4000));
+    registry.put(entry(2, 2, State::Ready), at(4010));
+    assert!(registry.get(Handle(1)).has_ended());
+}
--- a/crates/geraniumgauge/src/spread/wire/registration.rs
+++ b/crates/geraniumgauge/src/spread/wire/registration.rs
@@ -153,6 +153,7 @@
                 registry::State::Ready
             },
             warm_up: time::Duration::from_millis(self.warm_up_ms),
+            revision: ids::Revision(self.revision),
             started_at: clock::Wall(self.born),
         })
     }
