A misdirected call is charged to the service that got it, not to the one that was meant

The VM that made the call counts it for the service that has the address, even beyond the allowance, or later, once the registration is known. The replacing call is the first one of its part. The relay counts calls that it makes for others, the requester those that it makes itself, so none is counted twice.

a_misdirected_call_is_charged_to_the_service_that_got_it failed without the count, the_call_that_replaces_a_misdirected_one_isnt_extra without the change of the job.

--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -343,7 +343,10 @@
         self.log_changes(changes);
         for change in changes {
             match *change {
-                registry::Change::Registered(upstream) => self.preconnect(upstream),
+                registry::Change::Registered(upstream) => {
+                    self.fleet.upstream_registered(upstream, now);
+                    self.preconnect(upstream);
+                }
                 registry::Change::Draining(upstream) => self.stop_using(upstream, now),
                 registry::Change::Gone(upstream) => {
                     self.stop_using(upstream, now);
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -260,6 +260,10 @@
             };
             self.fleet
                 .call_ended(ended.call, call.upstream, call.began, &ended.verdict, now);
+            let made_here = call.via.is_none();
+            if made_here && matches!(ended.verdict, forward::Verdict::Misdirected) {
+                self.fleet.call_misdirected(call.upstream, now);
+            }
             let took = ended.at.since(call.began);
             let good = matches!(ended.verdict, forward::Verdict::Good(_));
             if good && !self.fleet.suspects.is_empty() {
--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -273,6 +273,21 @@
         })
     }
 
+    /// Counts an extra call that arrived at a service that it wasn't meant for. Later extra
+    /// calls have to make up for it, of the budget that has more to spend.
+    pub fn add_misdirected(
+        &mut self,
+        service: &ids::Service,
+        policy: &forward::Policy,
+        now: clock::Moment,
+    ) {
+        let budgets = match self.shares.lent {
+            Some(_) => &mut self.shared,
+            None => &mut self.own,
+        };
+        budgets.of(service, |budget| budget.add_uncharged(policy, now));
+    }
+
     /// Handles the arrival of a charged call, which may have been earlier.
     pub fn arrived(&mut self, charge: &Charge, policy: &forward::Policy, now: clock::Moment) {
         self.charged(charge, |budget| budget.arrived(policy, now));
--- a/crates/geraniumgauge/src/forward/budget.rs
+++ b/crates/geraniumgauge/src/forward/budget.rs
@@ -142,6 +142,12 @@
         self.extras[self.index(0)] += 1;
     }
 
+    /// Counts an extra call that has arrived without a charge, even beyond the allowance.
+    pub fn add_uncharged(&mut self, policy: &forward::Policy, now: clock::Moment) {
+        self.advance(policy.extra_window, now);
+        self.extras[self.index(0)] += 1;
+    }
+
     /// Removes an extra call that was charged but not made.
     pub fn refund(&mut self) {
         self.in_transit = self.in_transit.saturating_sub(1);
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -1,6 +1,7 @@
 //! State shared by all jobs of a VM.
 
 mod extra;
+mod misdirected;
 
 use std::collections;
 use std::rc;
@@ -55,6 +56,7 @@
     transit: forward::Transit,
     /// Charges settled since [`Self::take_settled`].
     settled: forward::Settled,
+    misdirected: misdirected::Misdirected,
     /// What was heard of each upstream since this VM's start, by the index of its handle.
     contacts: Vec<contact::Contact>,
     latencies: collections::HashMap<String, rc::Rc<forward::Latency>>,
@@ -75,6 +77,7 @@
             allowance: forward::Allowance::default(),
             transit: forward::Transit::default(),
             settled: forward::Settled::default(),
+            misdirected: misdirected::Misdirected::default(),
             contacts: Vec::new(),
             latencies: collections::HashMap::new(),
             vms: 1,
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -66,6 +66,7 @@
     ) {
         let settled = match verdict {
             forward::Verdict::NotSent
+            | forward::Verdict::Misdirected
             | forward::Verdict::Advised(_)
             | forward::Verdict::NoBudget => self.transit.not_made(call),
             _ => self.transit.ended(call),
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -75,8 +75,8 @@
     pub(super) may_have_run: u32,
     /// Number of calls that were proven not run.
     pub(super) not_run: u32,
-    /// Number of calls that reached an upstream or may have. All but the first
-    /// are extra calls.
+    /// Number of calls that reached an upstream of the service or may have. All but
+    /// the first are extra calls.
     pub(super) arrivals: u32,
     /// Set when a relay advised against a call. The next call is mandatory.
     pub(super) advised: bool,
--- a/crates/geraniumgauge/src/forward/tests/mod.rs
+++ b/crates/geraniumgauge/src/forward/tests/mod.rs
@@ -5,6 +5,7 @@
 mod hedge;
 mod job;
 mod merge;
+mod misdirected;
 mod relay;
 mod spending;
 mod suspects;
