A relay that has just started lends at once what new requests earn

Callers lost shards of their searches for ten seconds after each restart of a relay: it lent nothing for a window, also not what the requests earn whose first calls it has made since its start. Nobody else may spend that, and no predecessor can have: it is earned by requests that this process counted.

The fixed part still waits for a window. a_restarted_relay_lends_at_once_what_new_requests_earn failed before: 8 extra calls, all from the requester's own share. The properties that bound the sum of all VMs hold.

--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -77,15 +77,16 @@
     }
 
     /// Returns the shares of a VM that has just started, or doesn't know the fleet
-    /// yet. Before a restart it may have spent its fixed shares, and lent for requests
-    /// that others counted; the requests that it counts from now on are new.
+    /// yet. Before a restart it may have spent its fixed shares; the requests that it
+    /// counts from now on, its own and those of others, are new.
     pub fn of_start() -> Self {
+        let proportional = |proportional| budget::Share {
+            fixed: 0.0,
+            proportional,
+        };
         Self {
-            own: budget::Share {
-                fixed: 0.0,
-                proportional: OWN_SHARE,
-            },
-            lent: None,
+            own: proportional(OWN_SHARE),
+            lent: Some(proportional(1.0 - OWN_SHARE)),
             may_ask: false,
         }
     }
@@ -156,6 +157,8 @@
 #[derive(Debug)]
 pub struct Allowance {
     shares: Shares,
+    /// Whether the shares were ever set. Before, they are those of an only VM.
+    was_set: bool,
     /// Shares that were replaced within the last window, with the time of that.
     replaced: collections::VecDeque<(clock::Moment, Shares)>,
     own: Budgets,
@@ -166,6 +169,7 @@
     fn default() -> Self {
         Self {
             shares: Shares::new(SizeClass::Equal, 1, 0),
+            was_set: false,
             replaced: [(clock::Moment::default(), Shares::of_start())].into(),
             own: Budgets::default(),
             shared: Budgets::default(),
@@ -180,11 +184,12 @@
     pub fn set_shares(&mut self, shares: Shares, now: clock::Moment) {
         if self.shares != shares {
             log::info!(before:? = self.shares, shares:? = shares; "shares of the extra call allowance changed");
-            if self.shares != Shares::of_start() {
+            if self.was_set && self.shares != Shares::of_start() {
                 self.replaced.push_back((now, self.shares));
             }
             self.shares = shares;
         }
+        self.was_set = true;
     }
 
     /// Returns the shares that may be spent: the smallest ones of the last window.
@@ -281,9 +286,10 @@
         policy: &forward::Policy,
         now: clock::Moment,
     ) {
-        let budgets = match self.shares.lent {
-            Some(_) => &mut self.shared,
-            None => &mut self.own,
+        let lends = |lent: budget::Share| lent.fixed > 0.0;
+        let budgets = match self.shares.lent.is_some_and(lends) {
+            true => &mut self.shared,
+            false => &mut self.own,
         };
         budgets.of(service, |budget| budget.add_uncharged(policy, now));
     }
--- a/crates/geraniumgauge/src/forward/tests/allowance.rs
+++ b/crates/geraniumgauge/src/forward/tests/allowance.rs
@@ -79,6 +79,26 @@
     assert!(!fleet.overspent(), "{} extra calls", fleet.extras.len());
 }
 
+/// Guards against hedges that are refused for a window after each restart of a relay, while
+/// the requests whose first calls it makes earn extra calls that nobody else may spend.
+#[test]
+fn a_restarted_relay_lends_at_once_what_new_requests_earn() {
+    let mut fleet = spending::Fleet::new();
+    while fleet.extra(0, 0) {}
+    fleet.replace(0);
+    fleet.now = fleet.now + time::Duration::from_secs(1);
+    for _ in 0..100 {
+        fleet.request(1, Some(0));
+        fleet.now = fleet.now + time::Duration::from_millis(30);
+    }
+    let spent = fleet.extras.len();
+    while fleet.extra(1, 0) {}
+    let own = spending::FIXED * 0.5 / 6.0 + 100.0 * 0.2 * 0.5 / 2.0;
+    let made = (fleet.extras.len() - spent) as f64;
+    assert!(made > own, "{made} extra calls, {own} of its own");
+    assert!(!fleet.overspent());
+}
+
 /// Guards against calls of VMs that restart while upstreams don't read: the calls arrive when
 /// these go on, with those that the VMs make once their shares are usable again.
 #[test]
