A VM that was paused makes no calls for a requester that has died meanwhile

All messages that have arrived together with the end of a connection are read at once, and calls among them aren't made any more. The test of the backlog has no counterpart before: every call was made.

--- a/crates/geraniumgauge/src/edge/backlog.rs
+++ b/crates/geraniumgauge/src/edge/backlog.rs
@@ -33,5 +33,13 @@
     }
 }
 
+/// Removes all calls: their requester's connection has ended.
+///
+/// Guards against the same calls as [`prune`], where the requester has died while this VM
+/// was paused, and so hasn't abandoned them.
+pub(super) fn remove_calls(messages: &mut Vec<frame::Kind>) {
+    messages.retain(|kind| !matches!(kind, frame::Kind::Batch(_)));
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/geraniumgauge/src/edge/backlog/tests.rs
+++ b/crates/geraniumgauge/src/edge/backlog/tests.rs
@@ -15,6 +15,7 @@
 fn abandon(calls: &[u64]) -> frame::Kind {
     frame::Kind::Abandon(frame::Abandon {
         calls: calls.to_vec(),
+        charged: Vec::new(),
     })
 }
 
@@ -33,6 +34,14 @@
     assert!(messages == [batch(&[3]), abandon(&[1, 2, 4]), batch(&[5])]);
 }
 
+/// Guards against calls for a requester that died while this VM was paused.
+#[test]
+fn calls_of_a_requester_that_is_gone_are_not_made() {
+    let mut messages = vec![batch(&[1]), abandon(&[2]), batch(&[3])];
+    backlog::remove_calls(&mut messages);
+    assert!(messages == [abandon(&[2])]);
+}
+
 #[test]
 fn messages_that_abandon_nothing_stay() {
     let mut messages = vec![batch(&[1]), frame::Kind::GoAway(frame::GoAway {})];
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -179,6 +179,9 @@
     loop {
         let ended = read_available(&mut frames, &mut messages).await;
         backlog::prune(&mut messages);
+        if ended.is_some() {
+            backlog::remove_calls(&mut messages);
+        }
         for kind in messages.drain(..) {
             handle(kind);
         }
