A given-up call stays charged until its own connection shows that it has arrived

Callers saw services get more extra calls than allowed after replicas were paused. A given-up call was taken as arrived without proof by three events. Its registration lapsed: a paused replica misses its heartbeats too, and reads on later. Its relay's connection ended: a relay that is killed leaves its calls in the sockets of a silent replica. Its upstream answered another call, on another path: the relay that was to make the call may be paused, and make it later.

The connection of a given-up call is now closed for writing only. An upstream that reads closes it, or its system resets it, and the call has arrived; one that is paused doesn't. The system's probes end it if the host is gone. A relay reports the same to the requester whose budget is charged, also that it never made the call. Only where the relay is gone a later answer of the upstream counts, as before, and the retry after it stays charged together with the lost call. A registration that lapsed shows nothing; one whose id or address another process has shows that the process has ended.

The tests of relay and transit describe what didn't exist: a report of the end of a given-up call, and a lost call that a retry stays charged for.

--- a/crates/geraniumgauge/src/edge/call.rs
+++ b/crates/geraniumgauge/src/edge/call.rs
@@ -125,6 +125,8 @@
     pub(super) typical_call_time: time::Duration,
     /// Whether the result is no longer wanted.
     pub(super) abandoned: bool,
+    /// Whether its relay can't be asked any more what became of it.
+    pub(super) unwatched: bool,
 }
 
 impl Call {
@@ -146,6 +148,7 @@
             charged_vm: forward::ChargedVm::Own,
             typical_call_time,
             abandoned: false,
+            unwatched: false,
         }
     }
 
--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -174,6 +174,10 @@
     /// The requester's ids of the calls.
     #[prost(uint64, repeated, tag = "1")]
     pub(super) calls: Vec<u64>,
+    /// Those of them for which the requester's budget is charged until the relay reports
+    /// that they have arrived or weren't made.
+    #[prost(uint64, repeated, tag = "2")]
+    pub(super) charged: Vec<u64>,
 }
 
 /// Reports how calls of a batch ended.
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -105,7 +105,7 @@
             engine.with(|state, now| state.batch_received(peer, batch, now))
         }
         frame::Kind::Abandon(abandon) => {
-            engine.with(|state, now| state.calls_abandoned(peer, &abandon.calls, now));
+            engine.with(|state, now| state.calls_abandoned(peer, &abandon, now));
         }
         frame::Kind::Fetch(fetch) => {
             log_end = false;
--- a/crates/geraniumgauge/src/edge/sender.rs
+++ b/crates/geraniumgauge/src/edge/sender.rs
@@ -2,7 +2,9 @@
 
 use std::cell;
 use std::io;
+use std::net;
 use std::rc;
+use std::time;
 
 use bytes::Buf as _;
 use tokio::net::tcp;
@@ -11,6 +13,10 @@
 /// may be larger. Bounds the memory that a peer which doesn't read can take up.
 const MAX_QUEUED_BYTES: usize = 1 << 20;
 
+/// Interval at which the system probes the other side of a connection that is closed for
+/// writing. A host that is gone never closes its side.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// The write half of a connection; clones share it.
 #[derive(Debug, Clone)]
 pub(super) struct Sender {
@@ -62,6 +68,23 @@
         Ok(())
     }
 
+    /// Closes the connection for writing, and lets the system check that the other side is
+    /// still there. The other side sees the end of the connection.
+    ///
+    /// # Errors
+    /// If queued bytes aren't written yet, or the connection has failed.
+    pub(super) fn finish(&self) -> io::Result<()> {
+        if self.is_writing() {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        let socket = socket2::SockRef::from((*self.writer).as_ref());
+        let probes = socket2::TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL);
+        socket.set_tcp_keepalive(&probes)?;
+        socket.shutdown(net::Shutdown::Write)
+    }
+
     /// Returns whether queued bytes are still being written.
     pub(super) fn is_writing(&self) -> bool {
         self.queue.borrow().writing
--- a/crates/geraniumgauge/src/edge/state/abandoned.rs
+++ b/crates/geraniumgauge/src/edge/state/abandoned.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use crate::edge::call;
+use crate::edge::pool;
 use crate::edge::state;
 use crate::forward;
 use crate::ids;
@@ -53,15 +54,17 @@
         self.abandoned.push_back((now + ABANDONED_CALL_GRACE, id));
     }
 
-    /// Handles a call of which nobody learns any more whether it arrives.
+    /// Handles a call whose reply isn't awaited any more. Returns whether a budget stays
+    /// charged until it is known to have arrived.
     pub(super) fn give_up(
         &mut self,
         id: ids::Attempt,
         upstream: registry::Handle,
         message: &call::Message,
         now: clock::Moment,
-    ) {
-        if self.fleet.call_given_up(id, upstream, now) {
+    ) -> bool {
+        let is_charged = self.fleet.call_given_up(id, upstream, now);
+        if is_charged {
             let entry = &self.fleet.registry.get(upstream).entry;
             log::info!(
                 request = message.id.as_str(), service = entry.service.as_str(),
@@ -69,6 +72,39 @@
                 "call given up; it may still arrive"
             );
         }
+        is_charged
+    }
+
+    /// Stops a call whose grace period has passed. If a budget is charged for it, here or at
+    /// its requester, its connection is kept until the upstream closes it.
+    fn stop(&mut self, id: ids::Attempt, link: pool::Link, now: clock::Moment) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let is_charged = self.give_up(id, call.upstream, &call.message, now);
+        let is_watched = is_charged || self.peers.awaits(id);
+        self.instruments.ended("lost", now.since(call.began));
+        self.abandoned_call_ended(&call, &forward::Verdict::Lost, now);
+        if is_watched {
+            self.linger(link, id, now);
+        } else {
+            self.close(link);
+        }
+        self.dispatch(call.upstream, now);
+    }
+
+    /// Handles the end of what is known of a given-up call: settles its charge, here or at
+    /// its requester.
+    pub(super) fn call_over(
+        &mut self,
+        id: ids::Attempt,
+        upstream: registry::Handle,
+        was_made: bool,
+        now: clock::Moment,
+    ) {
+        self.fleet.call_over(id, upstream, was_made, now);
+        self.report_over(id, was_made);
+        self.count_settled();
     }
 
     /// Stops abandoned calls whose grace period has passed. Returns when the next
@@ -76,8 +112,7 @@
     pub(in crate::edge) fn sweep(&mut self, now: clock::Moment) -> Option<clock::Moment> {
         while let Some((due, id)) = self.abandoned.front().copied() {
             let known = self.calls.get(&id);
-            let Some((link, upstream)) = known.and_then(|call| Some((call.link?, call.upstream)))
-            else {
+            let Some(link) = known.and_then(|call| call.link) else {
                 self.abandoned.pop_front();
                 continue;
             };
@@ -85,14 +120,7 @@
                 return Some(due);
             }
             self.abandoned.pop_front();
-            if let Some(call) = self.calls.get(&id) {
-                let message = call.message.clone();
-                self.give_up(id, upstream, &message, now);
-            }
-            self.end(id, forward::Verdict::Lost, now);
-            self.close(link);
-            self.deliver_ended(now);
-            self.dispatch(upstream, now);
+            self.stop(id, link, now);
         }
         None
     }
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -31,6 +31,9 @@
     sender: Option<sender::Sender>,
     task: Option<task::AbortHandle>,
     call: Option<ids::Attempt>,
+    /// A call that was given up: the connection is closed for writing, and the upstream
+    /// closes it once it has read the call.
+    lingering: Option<ids::Attempt>,
     keep_alive: Option<time::Duration>,
     head_only: rc::Rc<cell::Cell<bool>>,
 }
@@ -105,6 +108,7 @@
             sender: None,
             task: None,
             call: None,
+            lingering: None,
             keep_alive: None,
             head_only: head_only.clone(),
         };
@@ -274,6 +278,23 @@
         !closes
     }
 
+    /// Keeps the connection of a given-up call until the upstream closes it. It doesn't count
+    /// any more, as the upstream closes it unless it is paused.
+    pub(super) fn linger(&mut self, link: pool::Link, call: ids::Attempt, now: clock::Moment) {
+        let Some(connection) = self.links.get_mut(&link) else {
+            return;
+        };
+        let upstream = connection.upstream;
+        connection.call = None;
+        let finished = connection.sender.as_ref().map(sender::Sender::finish);
+        if !matches!(finished, Some(Ok(()))) {
+            self.call_over(call, upstream, true, now);
+            return self.close(link);
+        }
+        connection.lingering = Some(call);
+        self.pool(upstream).links -= 1;
+    }
+
     /// Handles a connection that ended or on which something other than a reply was
     /// received.
     pub(in crate::edge) fn ended(&mut self, link: pool::Link, error: &str, now: clock::Moment) {
@@ -281,6 +302,10 @@
             return;
         };
         let (upstream, call) = (connection.upstream, connection.call);
+        if let Some(given_up) = connection.lingering {
+            self.close(link);
+            return self.call_over(given_up, upstream, true, now);
+        }
         if let Some(id) = call {
             let request = self.calls.get(&id).map(|call| call.message.id.as_str());
             log::info!(request = request, error = error; "connection ended during a call");
@@ -323,12 +348,14 @@
             return;
         };
         let opening = connection.sender.is_none();
-        let pool = self.pool(connection.upstream);
-        pool.links -= 1;
-        if opening {
-            pool.opening -= 1;
+        if connection.lingering.is_none() {
+            let pool = self.pool(connection.upstream);
+            pool.links -= 1;
+            if opening {
+                pool.opening -= 1;
+            }
+            pool.remove_idle(link);
         }
-        pool.remove_idle(link);
         if let Some(task) = connection.task {
             task.abort();
         }
@@ -350,7 +377,10 @@
                 registry::Change::Draining(upstream) => self.stop_using(upstream, now),
                 registry::Change::Gone(upstream) => {
                     self.stop_using(upstream, now);
-                    self.fleet.upstream_gone(upstream, "registration gone", now);
+                    // One that is only paused reads later what was sent to it.
+                    if self.fleet.registry.get(upstream).has_ended() {
+                        self.fleet.upstream_gone(upstream, "another process", now);
+                    }
                 }
                 registry::Change::Vanished(_) | registry::Change::Returned(_) => {}
             }
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -2,6 +2,7 @@
 //! task is queued as [`Effect`]s.
 
 mod abandoned;
+mod given_up;
 mod links;
 mod relay;
 mod report;
@@ -258,8 +259,12 @@
             let Some(call) = self.calls.remove(&ended.call) else {
                 continue;
             };
-            self.fleet
-                .call_ended(ended.call, call.upstream, call.began, &ended.verdict, now);
+            if call.unwatched {
+                self.fleet.call_unwatched(ended.call, call.upstream, now);
+            } else {
+                self.fleet
+                    .call_ended(ended.call, call.upstream, call.began, &ended.verdict, now);
+            }
             let made_here = call.via.is_none();
             if made_here && matches!(ended.verdict, forward::Verdict::Misdirected) {
                 self.fleet.call_misdirected(call.upstream, now);
@@ -272,6 +277,11 @@
             self.instruments.ended(verdict_name(&ended.verdict), took);
             if call.abandoned {
                 self.abandoned_call_ended(&call, &ended.verdict, now);
+                let was_made = !matches!(
+                    ended.verdict,
+                    forward::Verdict::NotSent | forward::Verdict::Misdirected
+                );
+                self.report_over(ended.call, was_made);
                 continue;
             }
             match call.owner {
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -8,6 +8,7 @@
 use crate::edge::frame;
 use crate::edge::sender;
 use crate::edge::state;
+use crate::edge::state::given_up;
 use crate::edge::state::serve;
 use crate::forward;
 use crate::ids;
@@ -33,6 +34,8 @@
     pub(super) calls_made: u64,
     /// Set when this VM is stopping and accepts no more batches.
     pub(super) draining: bool,
+    /// Given-up calls whose ends relays and requesters tell each other.
+    pub(super) given_up: given_up::Calls,
 }
 
 impl Peers {
@@ -40,6 +43,11 @@
     pub(super) fn batch_count(&self) -> usize {
         self.batches.len()
     }
+
+    /// Returns whether a requester waits for the end of a call that it has given up.
+    pub(super) fn awaits(&self, call: ids::Attempt) -> bool {
+        self.given_up.is_awaited(call)
+    }
 }
 
 /// Properties that calls must share to be sent in one batch.
@@ -229,22 +237,28 @@
 
     /// Removes calls and notifies their relays that they are abandoned.
     pub(super) fn abandon_relayed(&mut self, calls: &[ids::Attempt], now: clock::Moment) {
-        let mut by_relay: collections::BTreeMap<net::SocketAddr, Vec<u64>> = Default::default();
+        let mut by_relay: collections::BTreeMap<net::SocketAddr, frame::Abandon> =
+            Default::default();
         for id in calls {
-            let Some(call) = self.calls.remove(id) else {
+            let relay = self.calls.get(id).and_then(|call| call.via);
+            let (Some(address), Some(call)) = (relay, self.calls.remove(id)) else {
+                // The relay has reported its end, or this VM has made it itself.
                 continue;
             };
-            self.give_up(*id, call.upstream, &call.message, now);
-            if let Some(address) = call.via {
-                by_relay.entry(address).or_default().push(id.0);
+            let abandon = by_relay.entry(address).or_default();
+            abandon.calls.push(id.0);
+            if self.give_up(*id, call.upstream, &call.message, now) {
+                abandon.charged.push(id.0);
+                self.peers.given_up.relayed(*id, address, call.upstream);
             }
             self.abandoned_call_ended(&call, &forward::Verdict::Lost, now);
         }
-        for (address, calls) in by_relay {
-            let bytes = frame::Frame::bytes(frame::Kind::Abandon(frame::Abandon { calls }));
-            if let Some(sender) = self.peers.outgoing.get(&address) {
-                // If the connection has failed, the relay abandons the calls anyway.
-                let _ = sender.send(&bytes);
+        for (address, abandon) in by_relay {
+            let bytes = frame::Frame::bytes(frame::Kind::Abandon(abandon));
+            let sender = self.peers.outgoing.get(&address);
+            if sender.is_none_or(|sender| sender.send(&bytes).is_err()) {
+                // The relay abandons the calls when it sees that the connection has failed.
+                self.relay_unreachable(address, now);
             }
         }
     }
@@ -283,8 +297,12 @@
             .filter(|(_, call)| call.via == Some(address));
         let lost: Vec<ids::Attempt> = via.map(|(id, _)| *id).collect();
         for id in lost {
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.unwatched = true;
+            }
             self.end(id, forward::Verdict::Lost, now);
         }
+        self.relay_unreachable(address, now);
         self.deliver_ended(now);
     }
 
--- a/crates/geraniumgauge/src/edge/state/report.rs
+++ b/crates/geraniumgauge/src/edge/state/report.rs
@@ -37,7 +37,10 @@
             let id = ids::Attempt(end.id);
             let at = match self.calls.get(&id) {
                 Some(call) => call.began + time::Duration::from_micros(end.took_us),
-                None => continue,
+                None => {
+                    self.relayed_call_over(id, end.how(), now);
+                    continue;
+                }
             };
             if matches!(end.how(), frame::How::Good | frame::How::Failure) {
                 // Whatever becomes of the reply, the upstream has read the call.
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -74,6 +74,7 @@
     /// Removes a connection that has ended and abandons the calls of its batches.
     pub(in crate::edge) fn peer_disconnected(&mut self, peer: u64, now: clock::Moment) {
         self.peers.incoming.remove(&peer);
+        self.peers.given_up.requester_gone(peer);
         let of_peer = self
             .peers
             .batches
@@ -243,31 +244,45 @@
     pub(in crate::edge) fn calls_abandoned(
         &mut self,
         peer: u64,
-        calls: &[u64],
+        abandon: &frame::Abandon,
         now: clock::Moment,
     ) {
-        let mut abandoned = Vec::new();
-        for batch in self
-            .peers
-            .batches
-            .values_mut()
-            .filter(|batch| batch.peer == peer)
-        {
-            abandoned.extend(
-                calls
-                    .iter()
-                    .filter_map(|remote| batch.pending.remove(remote)),
-            );
+        for remote in &abandon.calls {
+            let is_charged = abandon.charged.contains(remote);
+            let mut batches = self.peers.batches.values_mut();
+            let pending = batches
+                .by_ref()
+                .filter(|batch| batch.peer == peer)
+                .find_map(|batch| batch.pending.remove(remote));
+            match pending {
+                Some(call) => {
+                    if is_charged {
+                        self.peers.given_up.requested(call, peer, *remote);
+                    }
+                    self.abandon(call, now);
+                }
+                None if is_charged && !self.has_reply(peer, *remote) => {
+                    // It was never made, or its end is reported already.
+                    self.report_given_up(peer, *remote, frame::How::NotSent);
+                }
+                None => {}
+            }
         }
         self.peers
             .batches
             .retain(|_, batch| !batch.pending.is_empty() || !batch.replies.is_empty());
-        for call in abandoned {
-            self.abandon(call, now);
-        }
         self.deliver_ended(now);
     }
 
+    /// Returns whether the reply to a requester's call is still to be reported.
+    fn has_reply(&self, peer: u64, remote: u64) -> bool {
+        let batches = self.peers.batches.values();
+        let mut replies = batches
+            .filter(|batch| batch.peer == peer)
+            .flat_map(|batch| &batch.replies);
+        replies.any(|(end, _)| end.id == remote)
+    }
+
     /// Handles the end of a call of a batch.
     pub(super) fn batch_call_ended(
         &mut self,
--- a/crates/geraniumgauge/src/edge/tests/mod.rs
+++ b/crates/geraniumgauge/src/edge/tests/mod.rs
@@ -1,3 +1,4 @@
+mod given_up;
 mod peers;
 mod sender;
 mod state;
--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -29,15 +29,15 @@
     missing: "x-missing",
     not_run: "x-not-run",
 };
-const NOW: clock::Moment = clock::Moment::from_millis(30_000);
+pub(super) const NOW: clock::Moment = clock::Moment::from_millis(30_000);
 
-fn address(port: u16) -> net::SocketAddr {
+pub(super) fn address(port: u16) -> net::SocketAddr {
     net::SocketAddr::from(([127, 0, 0, 1], port))
 }
 
 /// Returns the state of a small VM whose own budget is used up. The only large VM, its
 /// relay, is in data centre `b`, as are the `upstreams` upstreams of service `s`.
-fn small_vm(relay: net::SocketAddr, upstreams: u16) -> state::State {
+pub(super) fn small_vm(relay: net::SocketAddr, upstreams: u16) -> state::State {
     let own = forward::LocalVm {
         data_centre: "a".parse().expect("a name"),
     };
@@ -105,7 +105,7 @@
 }
 
 /// Returns the write half of a connection, and its other end.
-async fn connection() -> (tcp::OwnedWriteHalf, tokio::net::TcpStream) {
+pub(super) async fn connection() -> (tcp::OwnedWriteHalf, tokio::net::TcpStream) {
     let listener = tokio::net::TcpListener::bind(address(0)).await;
     let listener = listener.expect("a port");
     let to = listener.local_addr().expect("an address");
@@ -114,14 +114,19 @@
     (writer, accepted.expect("a connection").0)
 }
 
+/// Runs a test's future on one thread.
+pub(super) fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+}
+
 /// Guards against an extra call that no budget is charged for: the relay that was to pay
 /// doesn't know the upstream, and the requester makes the call itself.
 #[test]
 fn an_extra_call_that_its_relay_cant_pay_for_isnt_made() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+    run(async {
         let relay = address(9);
         let mut state = small_vm(relay, 2);
         let (writer, _relay) = connection().await;
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -20,12 +20,12 @@
 
     /// Charges the extra call `call` to `service` and returns the VM whose budget
     /// is charged. Returns `None` if no budget allows the call. `earlier` are the
-    /// part's other calls that have no reply yet.
+    /// part's other calls.
     pub fn take_extra(
         &mut self,
         service: &ids::Service,
         call: ids::Attempt,
-        earlier: impl IntoIterator<Item = ids::Attempt>,
+        earlier: &forward::Earlier,
         now: clock::Moment,
     ) -> Option<forward::ChargedVm> {
         let expired = self.transit.expire(now);
@@ -82,7 +82,8 @@
     }
 
     /// Handles a call that was given up without a reply. Returns whether it keeps
-    /// a budget charged, as it may still arrive.
+    /// a budget charged, as it may still arrive. If so, [`Self::call_over`] or
+    /// [`Self::call_unwatched`] must follow.
     pub fn call_given_up(
         &mut self,
         call: ids::Attempt,
@@ -90,7 +91,36 @@
         now: clock::Moment,
     ) -> bool {
         self.contact(upstream).given_up();
-        self.transit.hold(call, upstream, now)
+        self.transit.give_up(call, now)
+    }
+
+    /// Handles the end of a given-up call's connection: the call has arrived, or it wasn't
+    /// made.
+    pub fn call_over(
+        &mut self,
+        call: ids::Attempt,
+        upstream: registry::Handle,
+        was_made: bool,
+        now: clock::Moment,
+    ) {
+        let settled = if was_made {
+            self.transit.ended(call)
+        } else {
+            self.transit.not_made(call)
+        };
+        self.log_settled(upstream, "end of its connection", &settled);
+        self.settle(settled, now);
+    }
+
+    /// Handles a call of which this VM won't learn whether it arrives, because it was its
+    /// relay's and the relay can't be asked any more.
+    pub fn call_unwatched(
+        &mut self,
+        call: ids::Attempt,
+        upstream: registry::Handle,
+        now: clock::Moment,
+    ) {
+        self.transit.hold(call, upstream, now);
     }
 
     /// Handles a reply of an upstream to a call that began at `began`, which shows
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -56,8 +56,7 @@
         let is_extra = part.arrivals > 0;
         let id = fleet.next_call();
         let charged_vm = if is_extra {
-            let earlier = part.calls.iter().map(|call| call.id);
-            fleet.take_extra(&part.service, id, earlier, now)
+            fleet.take_extra(&part.service, id, &part.earlier(), now)
         } else {
             Some(forward::ChargedVm::Own)
         };
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -222,6 +222,7 @@
             }
             forward::Verdict::NoBudget => self.refused_by_budget(index, call.upstream),
             forward::Verdict::Lost => {
+                part.lost.push(call.id);
                 self.retry(index, forward::CallReason::Failed, fleet, now, actions);
             }
         }
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -43,6 +43,7 @@
 pub use relay::Relay;
 pub use relay::Relays;
 pub use suspects::Suspects;
+pub use transit::Earlier;
 pub use transit::Settled;
 pub use transit::Transit;
 
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -68,6 +68,8 @@
     pub(super) service: ids::Service,
     pub(super) state: State,
     pub(super) calls: Vec<Call>,
+    /// Calls whose connection was lost, so that they may still arrive.
+    pub(super) lost: Vec<ids::Attempt>,
     pub(super) tried: Vec<registry::Handle>,
     /// Upstreams in `tried` that declined a call.
     pub(super) declined: Vec<registry::Handle>,
@@ -95,6 +97,7 @@
             service,
             state: State::Open,
             calls: Vec::with_capacity(2),
+            lost: Vec::new(),
             tried: Vec::with_capacity(2),
             declined: Vec::new(),
             may_have_run: 0,
@@ -115,6 +118,14 @@
         matches!(self.state, State::Done(_))
     }
 
+    /// Returns the calls that may arrive as extra ones if another one is made.
+    pub(super) fn earlier(&self) -> forward::Earlier {
+        forward::Earlier {
+            in_progress: self.calls.iter().map(|call| call.id).collect(),
+            lost: self.lost.clone(),
+        }
+    }
+
     /// Returns the reason why the part has no reply, or `None` if it has one.
     pub(super) fn missing_reason(&self) -> Option<MissingReason> {
         match self.state {
--- a/crates/geraniumgauge/src/forward/tests/misdirected.rs
+++ b/crates/geraniumgauge/src/forward/tests/misdirected.rs
@@ -51,7 +51,11 @@
     /// Returns whether another extra call to `s1` is allowed.
     fn allows_extra(&mut self) -> bool {
         let (call, now) = (ids::Attempt(100), self.world.now);
-        let granted = self.world.fleet.take_extra(&world::name(1), call, [], now);
+        let earlier = forward::Earlier::default();
+        let granted = self
+            .world
+            .fleet
+            .take_extra(&world::name(1), call, &earlier, now);
         granted.is_some()
     }
 }
--- a/crates/geraniumgauge/src/forward/tests/transit.rs
+++ b/crates/geraniumgauge/src/forward/tests/transit.rs
@@ -41,6 +41,13 @@
     clock::Moment::from_millis(millis)
 }
 
+fn in_progress(call: ids::Attempt) -> forward::Earlier {
+    forward::Earlier {
+        in_progress: vec![call],
+        lost: Vec::new(),
+    }
+}
+
 /// Guards against a first call that waits at a silent upstream and arrives as the extra call
 /// of its request, after the hedge was answered elsewhere.
 #[test]
@@ -48,9 +55,29 @@
     let mut calls = Calls::new();
     let silent = calls.upstreams[0];
     let charge = calls.charge();
-    calls.transit.add(HEDGE, charge.clone(), [FIRST]);
+    calls
+        .transit
+        .add(HEDGE, charge.clone(), &in_progress(FIRST));
     assert_eq!(calls.transit.ended(HEDGE).arrived, []);
-    assert!(calls.transit.hold(FIRST, silent, at(500)));
+    assert!(calls.transit.give_up(FIRST, at(500)));
+    assert_eq!(calls.transit.answered(silent, at(600)).arrived, []);
+    assert_eq!(calls.transit.ended(FIRST).arrived, [charge]);
+}
+
+/// Guards against a call that a relay left in the sockets of a silent upstream when it died,
+/// and that arrives as the extra call of its request after the retry was answered.
+#[test]
+fn a_retry_stays_charged_until_the_upstream_of_a_lost_call_answers() {
+    let mut calls = Calls::new();
+    let silent = calls.upstreams[0];
+    calls.transit.hold(FIRST, silent, at(500));
+    let charge = calls.charge();
+    let earlier = forward::Earlier {
+        in_progress: Vec::new(),
+        lost: vec![FIRST],
+    };
+    calls.transit.add(RETRY, charge.clone(), &earlier);
+    assert_eq!(calls.transit.ended(RETRY).arrived, []);
     let other = calls.upstreams[1];
     assert_eq!(calls.transit.answered(other, at(600)).arrived, []);
     assert_eq!(calls.transit.answered(silent, at(400)).arrived, []);
@@ -63,9 +90,11 @@
 fn a_retry_after_a_failure_is_charged_until_its_reply() {
     let mut calls = Calls::new();
     let charge = calls.charge();
-    calls.transit.add(RETRY, charge.clone(), []);
+    calls
+        .transit
+        .add(RETRY, charge.clone(), &forward::Earlier::default());
     assert_eq!(calls.transit.ended(RETRY).arrived, [charge]);
-    assert!(!calls.transit.hold(RETRY, calls.upstreams[0], at(0)));
+    assert!(!calls.transit.give_up(RETRY, at(0)));
 }
 
 /// Guards against a part that is charged for more calls than were made.
@@ -73,7 +102,9 @@
 fn a_call_that_isnt_made_frees_a_charge_of_its_part() {
     let mut calls = Calls::new();
     let charge = calls.charge();
-    calls.transit.add(HEDGE, charge.clone(), [FIRST]);
+    calls
+        .transit
+        .add(HEDGE, charge.clone(), &in_progress(FIRST));
     assert_eq!(calls.transit.not_made(FIRST).not_made, [charge]);
     assert_eq!(calls.transit.ended(HEDGE), forward::Settled::default());
 }
@@ -95,12 +126,17 @@
 /// Guards against charges that are kept forever for upstreams that don't come back.
 #[test]
 fn charges_end_with_the_upstream_or_after_a_long_silence() {
-    for ends in ["process", "silence"] {
+    for ends in ["process", "silence", "long wait"] {
         let mut calls = Calls::new();
         let dead = calls.upstreams[0];
         let charge = calls.charge();
-        calls.transit.add(HEDGE, charge.clone(), []);
-        assert!(calls.transit.hold(HEDGE, dead, at(1000)));
+        calls
+            .transit
+            .add(HEDGE, charge.clone(), &forward::Earlier::default());
+        assert!(calls.transit.give_up(HEDGE, at(1000)));
+        if ends != "long wait" {
+            calls.transit.hold(HEDGE, dead, at(1000));
+        }
         assert_eq!(calls.transit.expire(at(20_000)).arrived, []);
         let settled = match ends {
             "process" => calls.transit.gone(dead),
--- a/crates/geraniumgauge/src/forward/transit.rs
+++ b/crates/geraniumgauge/src/forward/transit.rs
@@ -4,8 +4,10 @@
 //! whenever they were sent. An upstream that stops reading gets everything that
 //! was written to its sockets meanwhile when it goes on, even calls that were
 //! given up long before. Therefore a budget is charged for an extra call until
-//! the call is known to have arrived: by a reply to it, or by a reply of its
-//! upstream to a call that was sent after it was given up.
+//! the call is known to have arrived: by a reply to it, or by the end of its
+//! connection, which an upstream closes once it has read what the connection
+//! brought. Where the connection was that of a relay which can't be asked any more,
+//! a reply of the upstream to a later call shows that it reads.
 //!
 //! Of a part's calls, the first one to *arrive* isn't extra. If a first call
 //! waits at a silent upstream and its hedge is answered, the first call is the
@@ -34,13 +36,30 @@
     open: usize,
 }
 
-/// A call that was given up without a reply.
+/// A call that may wait at a silent upstream, and whose connection isn't watched.
 #[derive(Debug)]
 struct Held {
-    group: u64,
+    call: HeldCall,
     since: clock::Moment,
 }
 
+#[derive(Debug, Clone, Copy)]
+enum HeldCall {
+    /// A call of this VM, or one that a relay made for it.
+    Own(ids::Attempt),
+    /// A call that another VM made for the part with this group.
+    Other(u64),
+}
+
+/// The other calls of an extra call's part.
+#[derive(Debug, Clone, Default)]
+pub struct Earlier {
+    /// Calls that have no reply yet.
+    pub in_progress: Vec<ids::Attempt>,
+    /// Calls whose connection was lost.
+    pub lost: Vec<ids::Attempt>,
+}
+
 /// Charges that this VM is relieved of.
 #[derive(Debug, Default, PartialEq)]
 pub struct Settled {
@@ -55,27 +74,31 @@
 pub struct Transit {
     groups: collections::HashMap<u64, Group>,
     by_call: collections::HashMap<ids::Attempt, u64>,
-    /// Calls that were given up without a reply, by upstream.
+    /// Calls that were given up without a reply, and when.
+    given_up: collections::HashMap<ids::Attempt, clock::Moment>,
+    /// Calls whose connection isn't watched, by upstream.
     held: collections::HashMap<registry::Handle, Vec<Held>>,
     last_group: u64,
 }
 
 impl Transit {
-    /// Adds an extra call. `earlier` are the part's other calls that have no
-    /// reply yet.
-    pub fn add(
-        &mut self,
-        call: ids::Attempt,
-        charge: forward::Charge,
-        earlier: impl IntoIterator<Item = ids::Attempt>,
-    ) {
-        let earlier: Vec<ids::Attempt> = earlier.into_iter().collect();
-        let known = earlier.iter().find_map(|call| self.by_call.get(call));
+    /// Adds an extra call. `earlier` are the part's other calls.
+    pub fn add(&mut self, call: ids::Attempt, charge: forward::Charge, earlier: &Earlier) {
+        let unknown = earlier
+            .lost
+            .iter()
+            .filter(|lost| self.by_call.contains_key(lost));
+        let unknown: Vec<ids::Attempt> = unknown.chain(&earlier.in_progress).copied().collect();
+        let known = unknown.iter().find_map(|call| self.by_call.get(call));
         let id = known.copied().unwrap_or_else(|| self.new_group());
-        for call in earlier.into_iter().chain([call]) {
-            if self.by_call.insert(call, id).is_none() {
-                self.group(id).open += 1;
+        for call in unknown.into_iter().chain([call]) {
+            match self.by_call.insert(call, id) {
+                Some(before) if before == id => continue,
+                // A lost call that had no charge.
+                Some(before) => drop(self.groups.remove(&before)),
+                None => {}
             }
+            self.group(id).open += 1;
         }
         self.group(id).charges.push(charge);
     }
@@ -89,12 +112,12 @@
         earlier: &[registry::Handle],
         now: clock::Moment,
     ) {
-        self.add(call, charge, []);
+        self.add(call, charge, &Earlier::default());
         let id = self.last_group;
         self.group(id).open += earlier.len();
         for upstream in earlier {
             let held = Held {
-                group: id,
+                call: HeldCall::Other(id),
                 since: now,
             };
             self.held.entry(*upstream).or_default().push(held);
@@ -110,6 +133,7 @@
     /// Handles a call that has arrived or never will.
     pub fn ended(&mut self, call: ids::Attempt) -> Settled {
         let mut settled = Settled::default();
+        self.given_up.remove(&call);
         if let Some(id) = self.by_call.remove(&call) {
             self.settle_one(id, &mut settled.arrived);
         }
@@ -119,6 +143,7 @@
     /// Handles a call that wasn't made: one call less of its part is extra.
     pub fn not_made(&mut self, call: ids::Attempt) -> Settled {
         let mut settled = Settled::default();
+        self.given_up.remove(&call);
         if let Some(id) = self.by_call.remove(&call) {
             settled.not_made.extend(self.group(id).charges.pop());
             self.settle_one(id, &mut settled.arrived);
@@ -126,24 +151,35 @@
         settled
     }
 
-    /// Handles a call that was given up without a reply: it stays charged until
-    /// its upstream answers a later call. Returns whether the call is charged.
-    pub fn hold(
-        &mut self,
-        call: ids::Attempt,
-        upstream: registry::Handle,
-        now: clock::Moment,
-    ) -> bool {
-        let Some(group) = self.by_call.remove(&call) else {
+    /// Handles a call that was given up without a reply. Returns whether it stays charged
+    /// until [`Self::ended`], [`Self::not_made`] or [`Self::hold`].
+    pub fn give_up(&mut self, call: ids::Attempt, now: clock::Moment) -> bool {
+        let Some(id) = self.by_call.get(&call).copied() else {
             return false;
         };
-        if self.group(group).charges.is_empty() {
-            self.settle_one(group, &mut Vec::new());
-            return false;
+        let is_charged = !self.group(id).charges.is_empty();
+        if is_charged {
+            self.given_up.insert(call, now);
+        } else {
+            self.by_call.remove(&call);
+            self.settle_one(id, &mut Vec::new());
+        }
+        is_charged
+    }
+
+    /// Handles a call whose connection isn't watched any more: it counts as on its way until
+    /// its upstream answers a later call.
+    pub fn hold(&mut self, call: ids::Attempt, upstream: registry::Handle, now: clock::Moment) {
+        if !self.by_call.contains_key(&call) {
+            let id = self.new_group();
+            self.by_call.insert(call, id);
+            self.group(id).open += 1;
         }
-        let held = Held { group, since: now };
+        let held = Held {
+            call: HeldCall::Own(call),
+            since: now,
+        };
         self.held.entry(upstream).or_default().push(held);
-        true
     }
 
     /// Handles a reply of an upstream to a call that began at `began`: it has
@@ -165,6 +201,12 @@
             let expired = self.release(upstream, |held| now.since(held.since) >= MAX_SILENCE);
             settled.arrived.extend(expired.arrived);
         }
+        let is_old = |(_, at): &(ids::Attempt, clock::Moment)| now.since(*at) >= MAX_SILENCE;
+        let given_up = self.given_up.iter().map(|(call, at)| (*call, *at));
+        let expired: Vec<_> = given_up.filter(is_old).collect();
+        for (call, _) in expired {
+            settled.arrived.extend(self.ended(call).arrived);
+        }
         settled
     }
 
@@ -182,7 +224,13 @@
             self.held.remove(&upstream);
         }
         for held in released {
-            self.settle_one(held.group, &mut settled.arrived);
+            let group = match held.call {
+                HeldCall::Own(call) => self.by_call.remove(&call),
+                HeldCall::Other(group) => Some(group),
+            };
+            if let Some(group) = group {
+                self.settle_one(group, &mut settled.arrived);
+            }
         }
         settled
     }
