A VM waits for a window after an upstream that was silent at its start registers again

An upstream that this VM hasn't heard of, and that registers after the first list without warming up, counts as one that has just gone on, as after a first answer that came late.

--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -372,6 +372,9 @@
             match *change {
                 registry::Change::Registered(upstream) => {
                     self.fleet.upstream_registered(upstream, now);
+                    if self.registrations_listed {
+                        self.fleet.upstream_returned(upstream, now);
+                    }
                     self.preconnect(upstream);
                 }
                 registry::Change::Draining(upstream) => self.stop_using(upstream, now),
@@ -382,7 +385,10 @@
                         self.fleet.upstream_gone(upstream, "another process", now);
                     }
                 }
-                registry::Change::Vanished(_) | registry::Change::Returned(_) => {}
+                registry::Change::Returned(upstream) => {
+                    self.fleet.upstream_returned(upstream, now);
+                }
+                registry::Change::Vanished(_) => {}
             }
         }
         self.deliver_ended(now);
--- a/crates/geraniumgauge/src/forward/contact.rs
+++ b/crates/geraniumgauge/src/forward/contact.rs
@@ -8,7 +8,8 @@
 ///
 /// An extra call that this VM made before a restart may still wait at an upstream
 /// that doesn't read. The upstream has read everything from before the start once it
-/// answers a call that was made since.
+/// answers a call that was made since. One that is silent for long also loses its
+/// registration, as it misses its heartbeats; it may go on before it has that back.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum Contact {
     /// No call has ended yet.
@@ -16,7 +17,8 @@
     None,
     /// All calls were given up without a reply.
     Silent,
-    /// It answered at that time, for the first time, after it was silent.
+    /// It answered at that time, for the first time, after it was silent, or its
+    /// registration came back.
     Resumed(clock::Moment),
     /// It answered the first call, or what was sent to it before can't arrive any more.
     Answered,
@@ -32,6 +34,13 @@
         }
     }
 
+    /// Handles the return of the upstream's registration at `now`.
+    pub(super) fn returned(&mut self, now: clock::Moment) {
+        if matches!(self, Self::None | Self::Silent) {
+            *self = Self::Resumed(now);
+        }
+    }
+
     /// Handles a call that was given up without a reply.
     pub(super) fn given_up(&mut self) {
         if *self == Self::None {
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -152,6 +152,15 @@
         self.settle(settled, now);
     }
 
+    /// Handles the registration of an upstream that wasn't registered for a time. If it
+    /// doesn't warm up, its process isn't new, and it may have been silent since before this
+    /// VM's start.
+    pub fn upstream_returned(&mut self, upstream: registry::Handle, now: clock::Moment) {
+        if self.registry.get(upstream).entry.warm_up.is_zero() {
+            self.contact(upstream).returned(now);
+        }
+    }
+
     fn contact(&mut self, upstream: registry::Handle) -> &mut contact::Contact {
         if self.contacts.len() <= upstream.index() {
             let handles = self.registry.handles();
--- a/crates/geraniumgauge/src/forward/tests/transit.rs
+++ b/crates/geraniumgauge/src/forward/tests/transit.rs
@@ -145,3 +145,28 @@
         assert_eq!(settled.arrived, [charge], "{ends}");
     }
 }
+
+/// Guards against calls of a VM's predecessor that wait at an upstream which this VM has never
+/// called, as the upstream was silent and had lost its registration: they arrive when it goes
+/// on, together with what this VM's fixed share allows.
+#[test]
+fn a_vm_waits_for_a_window_after_a_silent_upstream_registers_again() {
+    let mut world = world::World::new(1, 3);
+    world.fleet.policy.extra_calls = 10.0;
+    let upstream = world.fleet.registry.of(&world::name(0))[0];
+    let window = world.fleet.policy.extra_window;
+    let mut attempt = 100;
+    let mut allows = |world: &mut world::World, now| {
+        attempt += 1;
+        let (service, earlier) = (world::name(0), forward::Earlier::default());
+        let call = ids::Attempt(attempt);
+        let granted = world.fleet.take_extra(&service, call, &earlier, now);
+        granted.is_some()
+    };
+    let now = at(15_000);
+    assert!(allows(&mut world, now));
+    world.fleet.upstream_returned(upstream, now);
+    assert!(!allows(&mut world, now));
+    assert!(!allows(&mut world, at(24_900)));
+    assert!(allows(&mut world, now + window));
+}
