The connections kept for given-up calls are bounded; tests of what remains of the allowance

A VM kept one connection for each charged call at a silent upstream. A relay of the large deployment could so reach its limit of descriptors if all replicas of all shards fell silent at once: 270 services with some 50 charged calls each. Beyond 1,000 the connection is closed, and the charge lasts until the upstream answers a later call, or at the requester for 30 s.

--- a/crates/geraniumgauge/src/edge/state/abandoned.rs
+++ b/crates/geraniumgauge/src/edge/state/abandoned.rs
@@ -16,6 +16,10 @@
 /// be free of a request half a second after its caller disconnected.
 pub(in crate::edge) const ABANDONED_CALL_GRACE: time::Duration = time::Duration::from_millis(200);
 
+/// Maximum number of connections that are kept for given-up calls. Each takes a file
+/// descriptor while its upstream is silent.
+const MAX_LINGERING: usize = 1000;
+
 impl state::State {
     /// Records the end of an abandoned call for its upstream's health.
     pub(super) fn abandoned_call_ended(
@@ -85,10 +89,13 @@
         let is_watched = is_charged || self.peers.awaits(id);
         self.instruments.ended("lost", now.since(call.began));
         self.abandoned_call_ended(&call, &forward::Verdict::Lost, now);
-        if is_watched {
+        if is_watched && self.lingering < MAX_LINGERING {
             self.linger(link, id, now);
         } else {
             self.close(link);
+            if is_charged {
+                self.fleet.call_unwatched(id, call.upstream, now);
+            }
         }
         self.dispatch(call.upstream, now);
     }
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -292,6 +292,7 @@
             return self.close(link);
         }
         connection.lingering = Some(call);
+        self.lingering += 1;
         self.pool(upstream).links -= 1;
     }
 
@@ -348,7 +349,9 @@
             return;
         };
         let opening = connection.sender.is_none();
-        if connection.lingering.is_none() {
+        if connection.lingering.is_some() {
+            self.lingering -= 1;
+        } else {
             let pool = self.pool(connection.upstream);
             pool.links -= 1;
             if opening {
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -81,6 +81,8 @@
     running: collections::HashMap<u64, Running>,
     calls: collections::HashMap<ids::Attempt, call::Call>,
     links: collections::HashMap<pool::Link, links::Link>,
+    /// Number of connections that are kept for given-up calls.
+    lingering: usize,
     pools: Vec<pool::Pool>,
     peers: relay::Peers,
     /// Sends crash suspects to the task that reports them to the other VMs.
@@ -114,6 +116,7 @@
             running: collections::HashMap::new(),
             calls: collections::HashMap::new(),
             links: collections::HashMap::new(),
+            lingering: 0,
             pools: Vec::new(),
             peers: relay::Peers::default(),
             abandoned: collections::VecDeque::new(),
--- a/crates/geraniumgauge/src/forward/tests/allowance.rs
+++ b/crates/geraniumgauge/src/forward/tests/allowance.rs
@@ -325,6 +325,55 @@
     }
 }
 
+/// Guards against more than a joining VM's own share of extra calls beyond the allowance,
+/// while the others don't know yet that the VM has joined.
+#[test]
+fn a_vm_that_joins_unnoticed_adds_no_more_than_its_own_share() {
+    let (vms, large) = (spending::SMALL + spending::LARGE + 1, spending::LARGE + 1);
+    let mut fleet = spending::Fleet::new();
+    let policy = spending::policy();
+    let joined_at = fleet.now;
+    let mut joined = forward::Allowance::default();
+    let shares = forward::Shares::new(forward::SizeClass::Large, vms, large);
+    joined.set_shares(shares, clock::Moment::default());
+    fleet.now = joined_at + time::Duration::from_secs(3);
+    for vm in 0..spending::SMALL {
+        while fleet.extra(vm, 0) || fleet.extra(vm, 1) {}
+    }
+    fleet.set_shares_of_others(vms, vms, large);
+    let now = clock::Moment::default() + spending::WINDOW;
+    let service = world::name(0);
+    let lend = || joined.take_extra_for_other(&service, false, &policy, now);
+    let lent = std::iter::repeat_with(lend).take_while(Option::is_some);
+    let all = (fleet.extras.len() + lent.count()) as f64;
+    let (own, lent) = shares.fixed();
+    let joining = spending::FIXED * (own + lent.expect("it lends"));
+    assert!(all <= spending::FIXED + joining, "{all} extra calls");
+}
+
+/// Guards against more late arrivals than the fixed part and what half a window's requests
+/// earn, where an upstream is silent until all requests of its service have ceased.
+#[test]
+fn what_arrives_after_a_long_silence_without_requests_is_bounded() {
+    let mut fleet = spending::Fleet::new();
+    let per_second = 20;
+    for _ in 0..20 * per_second {
+        fleet.request(0, Some(0));
+        fleet.now = fleet.now + time::Duration::from_secs(1) / per_second;
+    }
+    fleet.set_silent(true);
+    for vm in 0..spending::SMALL {
+        while fleet.extra(vm, 0) || fleet.extra(vm, 1) {}
+    }
+    fleet.now = fleet.now + spending::WINDOW * 2;
+    fleet.set_silent(false);
+    let half_window = spending::WINDOW.as_secs_f64() / 2.0 * f64::from(per_second);
+    let bound = spending::FIXED + 0.2 * half_window / 2.0;
+    let arrived = fleet.extras.len() as f64;
+    assert!(arrived <= bound, "{arrived} extra calls");
+    assert!(arrived > spending::FIXED / 2.0, "{arrived} extra calls");
+}
+
 /// Guards against VMs of a middle size that lend as the large ones do.
 #[test]
 fn shares_of_three_sizes_add_up_to_one_where_all_vms_are_known() {
