Only an upstream whose process isn't new may have been silent at a VM's start

A registration says how many heartbeats its upstream has sent. One that has sent three at most has just started, after this VM or hardly before it, and can't hold calls of a predecessor. The test tells a new process from one that went on.

--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -57,6 +57,7 @@
             state: registry::State::Ready,
             warm_up: time::Duration::ZERO,
             revision: ids::Revision(1),
+            heartbeats: 20,
             started_at: clock::Wall(1),
         };
         fleet.registry.put(entry, NOW);
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -162,11 +162,10 @@
         self.settle(settled, now);
     }
 
-    /// Handles the registration of an upstream that wasn't registered for a time. If it
-    /// doesn't warm up, its process isn't new, and it may have been silent since before this
-    /// VM's start.
+    /// Handles the registration of an upstream that wasn't registered for a time. Unless its
+    /// process is new, it may have been silent since before this VM's start.
     pub fn upstream_returned(&mut self, upstream: registry::Handle, now: clock::Moment) {
-        if self.registry.get(upstream).entry.warm_up.is_zero() {
+        if !self.registry.get(upstream).entry.is_new() {
             self.contact(upstream).returned(now);
         }
     }
--- a/crates/geraniumgauge/src/forward/tests/transit.rs
+++ b/crates/geraniumgauge/src/forward/tests/transit.rs
@@ -153,7 +153,7 @@
 fn a_vm_waits_for_a_window_after_a_silent_upstream_registers_again() {
     let mut world = world::World::new(1, 3);
     world.fleet.policy.extra_calls = 10.0;
-    let upstream = world.fleet.registry.of(&world::name(0))[0];
+    let mut entry = world.entry(0);
     let window = world.fleet.policy.extra_window;
     let mut attempt = 100;
     let mut allows = |world: &mut world::World, now| {
@@ -164,8 +164,18 @@
         granted.is_some()
     };
     let now = at(15_000);
-    assert!(allows(&mut world, now));
-    world.fleet.upstream_returned(upstream, now);
+    let mut registered = |world: &mut world::World, heartbeats| {
+        entry.started_at.0 += 1;
+        entry.heartbeats = heartbeats;
+        for change in world.fleet.registry.put(entry.clone(), now) {
+            if let registry::Change::Registered(upstream) = change {
+                world.fleet.upstream_returned(upstream, now);
+            }
+        }
+    };
+    registered(&mut world, 1);
+    assert!(allows(&mut world, now), "a new process");
+    registered(&mut world, 20);
     assert!(!allows(&mut world, now));
     assert!(!allows(&mut world, at(24_900)));
     assert!(allows(&mut world, now + window));
--- a/crates/geraniumgauge/src/forward/tests/world.rs
+++ b/crates/geraniumgauge/src/forward/tests/world.rs
@@ -52,6 +52,7 @@
                     state: registry::State::Ready,
                     warm_up: time::Duration::ZERO,
                     revision: ids::Revision(1),
+                    heartbeats: 20,
                     started_at: clock::Wall(1),
                 };
                 fleet.registry.put(entry, now);
@@ -67,6 +68,12 @@
         }
     }
 
+    /// Returns the registration of the first upstream of a service.
+    pub(super) fn entry(&self, service: usize) -> registry::Entry {
+        let upstream = self.fleet.registry.of(&name(service))[0];
+        self.fleet.registry.get(upstream).entry.clone()
+    }
+
     /// Starts a job on `route`.
     pub(super) fn start(&mut self, route: route::Route) -> forward::Job {
         let split = std::cell::RefCell::new(route::Split::of(&route.target));
--- a/crates/geraniumgauge/src/registry/mod.rs
+++ b/crates/geraniumgauge/src/registry/mod.rs
@@ -81,6 +81,8 @@
     pub warm_up: time::Duration,
     /// The store's revision of the registration's last change.
     pub revision: ids::Revision,
+    /// Number of heartbeats that the upstream had sent at that change.
+    pub heartbeats: u64,
     /// Start time by the upstream's own clock. The same id with another start
     /// time is another process, which knows nothing of the earlier one's requests.
     pub started_at: clock::Wall,
@@ -112,6 +114,16 @@
     ended: bool,
 }
 
+/// Number of heartbeats up to which an upstream has just started.
+const MAX_NEW_HEARTBEATS: u64 = 3;
+
+impl Entry {
+    /// Whether the upstream's process was new when it wrote this registration.
+    pub fn is_new(&self) -> bool {
+        self.heartbeats <= MAX_NEW_HEARTBEATS || !self.warm_up.is_zero()
+    }
+}
+
 impl Upstream {
     /// Whether its process is known to have ended. One that is only gone may be paused and
     /// read later what was sent to it.
@@ -332,6 +344,7 @@
             state: State::Ready,
             warm_up: time::Duration::ZERO,
             revision,
+            heartbeats: 0,
             started_at: clock::Wall(0),
         };
         let handle = self.push(entry, now);
--- a/crates/geraniumgauge/src/registry/tests.rs
+++ b/crates/geraniumgauge/src/registry/tests.rs
@@ -10,6 +10,7 @@
         state,
         warm_up: time::Duration::ZERO,
         revision: ids::Revision(1),
+        heartbeats: 20,
         started_at: clock::Wall(born),
     }
 }
--- a/crates/geraniumgauge/src/spread/tests/wire.rs
+++ b/crates/geraniumgauge/src/spread/tests/wire.rs
@@ -17,6 +17,7 @@
         state: registry::State::Draining,
         warm_up: time::Duration::from_millis(250),
         revision: ids::Revision(12),
+        heartbeats: 7,
         started_at: clock::Wall(1_700_000_000_000),
     }
 }
--- a/crates/geraniumgauge/src/spread/wire/registration.rs
+++ b/crates/geraniumgauge/src/spread/wire/registration.rs
@@ -104,6 +104,8 @@
     /// Start of the upstream, in milliseconds since the Unix epoch.
     #[prost(uint64, tag = "9")]
     born: u64,
+    #[prost(uint64, tag = "10")]
+    heartbeats: u64,
 }
 
 impl From<&follow::Item<registry::Entry>> for Registration {
@@ -124,6 +126,7 @@
             draining: entry.state == registry::State::Draining,
             warm_up_ms: clock::millis(entry.warm_up),
             born: entry.started_at.0,
+            heartbeats: entry.heartbeats,
             ..encoded
         }
     }
@@ -154,6 +157,7 @@
             },
             warm_up: time::Duration::from_millis(self.warm_up_ms),
             revision: ids::Revision(self.revision),
+            heartbeats: self.heartbeats,
             started_at: clock::Wall(self.born),
         })
     }
