--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod report;
 mod serve;
+mod upstreams;
 
 pub(super) use abandoned::ABANDONED_CALL_GRACE;
 
--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -13,7 +13,13 @@
 //! kind of budget, by the VM that received it and by the VM that makes its first
 //! call, and a VM that dies takes its unspent share with it. A share that a VM
 //! gains is usable only after a window, because its former holder may have spent
-//! it: another VM, or this one before a restart.
+//! it: another VM, or this one before a restart, unless it left word of what it has
+//! spent.
+
+mod handover;
+
+pub use handover::Spent;
+pub use handover::SpentOn;
 
 use std::collections;
 
@@ -22,104 +28,6 @@
 use crate::ids;
 use crate::time as clock;
 
-/// Share of the allowance that is divided among all VMs for their own calls
-/// when large VMs hold the rest.
-const OWN_SHARE: f64 = 0.5;
-
-/// Shares of the fleet's allowance that a VM spends.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Shares {
-    /// Share for this VM's own calls.
-    own: budget::Share,
-    /// Share for this VM's own and other VMs' calls. Only large VMs have one.
-    lent: Option<budget::Share>,
-    /// Whether this VM may ask relays to charge extra calls to their budgets.
-    may_ask: bool,
-}
-
-/// Whether a VM relays the calls of smaller VMs, has its calls relayed, or neither.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SizeClass {
-    /// All VMs have about the same number of cores, so none relays for others.
-    Equal,
-    /// The VM has many cores and relays the calls of small VMs.
-    Large,
-    /// The VM has few cores and has its calls relayed by large VMs.
-    Small,
-}
-
-impl Shares {
-    /// Returns the shares of one of `vms` VMs, `large` of which relay calls for
-    /// the others.
-    pub fn new(size_class: SizeClass, vms: usize, large: usize) -> Self {
-        let even = budget::Share::of(vms);
-        if size_class == SizeClass::Equal {
-            return Self {
-                own: even,
-                lent: None,
-                may_ask: false,
-            };
-        }
-        let own = budget::Share {
-            fixed: even.fixed * OWN_SHARE,
-            proportional: OWN_SHARE,
-        };
-        let lent = budget::Share {
-            fixed: (1.0 - OWN_SHARE) / large.max(1) as f64,
-            proportional: 1.0 - OWN_SHARE,
-        };
-        Self {
-            own,
-            lent: Some(lent).filter(|_| size_class == SizeClass::Large),
-            may_ask: size_class == SizeClass::Small,
-        }
-    }
-
-    /// Returns the shares of a VM that has just started, or doesn't know the fleet
-    /// yet. Before a restart it may have spent its fixed shares; the requests that it
-    /// counts from now on, its own and those of others, are new.
-    pub fn of_start() -> Self {
-        let proportional = |proportional| budget::Share {
-            fixed: 0.0,
-            proportional,
-        };
-        Self {
-            own: proportional(OWN_SHARE),
-            lent: Some(proportional(1.0 - OWN_SHARE)),
-            may_ask: false,
-        }
-    }
-
-    /// Returns the fixed shares: for own calls, and if this VM lends, for those of others.
-    pub fn fixed(&self) -> (f64, Option<f64>) {
-        (self.own.fixed, self.lent.map(|lent| lent.fixed))
-    }
-
-    /// Returns shares with these fixed ones, the counterpart of [`Self::fixed`]. They limit
-    /// other shares, so that their other fields are as large as any VM's.
-    pub fn with_fixed(own: f64, lent: Option<f64>) -> Self {
-        let share = |fixed| budget::Share {
-            fixed,
-            proportional: 1.0,
-        };
-        Self {
-            own: share(own),
-            lent: lent.map(share),
-            may_ask: true,
-        }
-    }
-
-    /// Returns the smaller of each share of `self` and `earlier`.
-    fn limited_by(self, earlier: &Self) -> Self {
-        let lent = self.lent.zip(earlier.lent);
-        Self {
-            own: self.own.min(earlier.own),
-            lent: lent.map(|(share, earlier)| share.min(earlier)),
-            may_ask: self.may_ask,
-        }
-    }
-}
-
 /// The budgets that a VM holds for extra calls to a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(derive_more::Display)]
@@ -150,27 +58,6 @@
     pub window: budget::Usage,
 }
 
-/// What a VM has spent of its shares when it ends, for its successor: the next start on the
-/// same machine.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Spent {
-    /// The shares that it could spend.
-    pub shares: Shares,
-    /// What was spent within the last window, by service.
-    pub services: collections::BTreeMap<ids::Service, SpentOn>,
-}
-
-/// The extra calls to a service that a VM was charged for within its last window.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct SpentOn {
-    /// Number of calls charged to the budget for its own calls.
-    pub own: u32,
-    /// Number of calls charged to the budget that it lends from.
-    pub shared: u32,
-    /// Whether some of them may not have arrived.
-    pub in_transit: bool,
-}
-
 /// Permission for an extra call of this VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Grant {
@@ -195,13 +82,13 @@
 /// Budgets for extra calls to each service.
 #[derive(Debug)]
 pub struct Allowance {
-    shares: Shares,
+    shares: forward::Shares,
     /// Whether the shares were ever set. Before, they are those of an only VM.
     was_set: bool,
     /// Services at which calls of this VM's predecessor may wait.
     inherited_transit: collections::HashSet<ids::Service>,
     /// Shares that were replaced within the last window, with the time of that.
-    replaced: collections::VecDeque<(clock::Moment, Shares)>,
+    replaced: collections::VecDeque<(clock::Moment, forward::Shares)>,
     own: Budgets,
     shared: Budgets,
 }
@@ -209,10 +96,10 @@
 impl Default for Allowance {
     fn default() -> Self {
         Self {
-            shares: Shares::new(SizeClass::Equal, 1, 0),
+            shares: forward::Shares::new(forward::SizeClass::Equal, 1, 0),
             was_set: false,
             inherited_transit: collections::HashSet::new(),
-            replaced: [(clock::Moment::default(), Shares::of_start())].into(),
+            replaced: [(clock::Moment::default(), forward::Shares::of_start())].into(),
             own: Budgets::default(),
             shared: Budgets::default(),
         }
@@ -223,10 +110,10 @@
     /// Sets the shares of this VM. What it gains is usable after a window. What it gains
     /// by learning of the fleet, and so hasn't had only for that, is usable a window after
     /// its start.
-    pub fn set_shares(&mut self, shares: Shares, now: clock::Moment) {
+    pub fn set_shares(&mut self, shares: forward::Shares, now: clock::Moment) {
         if self.shares != shares {
             log::info!(before:? = self.shares, shares:? = shares; "shares of the extra call allowance changed");
-            if self.was_set && self.shares != Shares::of_start() {
+            if self.was_set && self.shares != forward::Shares::of_start() {
                 self.replaced.push_back((now, self.shares));
             }
             self.shares = shares;
@@ -240,63 +127,20 @@
         limited: bool,
         policy: &forward::Policy,
         now: clock::Moment,
-    ) -> Shares {
-        let is_old = |(at, _): &(clock::Moment, Shares)| now.since(*at) >= policy.extra_window;
+    ) -> forward::Shares {
+        let is_old =
+            |(at, _): &(clock::Moment, forward::Shares)| now.since(*at) >= policy.extra_window;
         while self.replaced.front().is_some_and(is_old) {
             self.replaced.pop_front();
         }
         let replaced = self.replaced.iter();
         let usable = replaced.fold(self.shares, |least, (_, shares)| least.limited_by(shares));
         if limited {
-            return usable.limited_by(&Shares::of_start());
+            return usable.limited_by(&forward::Shares::of_start());
         }
         usable
     }
 
-    /// Returns what was spent within the last window, and stops spending.
-    pub fn hand_over(&mut self, policy: &forward::Policy, now: clock::Moment) -> Spent {
-        let usable = self.usable_shares(false, policy, now);
-        let mut services: collections::BTreeMap<ids::Service, SpentOn> = Default::default();
-        for (payer, budgets) in [
-            (Payer::Own, &mut self.own),
-            (Payer::Shared, &mut self.shared),
-        ] {
-            for (service, budget) in &mut budgets.0 {
-                let (arrived, in_transit) = budget.spent(policy, now);
-                if arrived + in_transit == 0 {
-                    continue;
-                }
-                let spent = services.entry(service.clone()).or_default();
-                spent.in_transit |= in_transit > 0;
-                match payer {
-                    Payer::Own => spent.own += arrived + in_transit,
-                    Payer::Shared => spent.shared += arrived + in_transit,
-                }
-            }
-        }
-        self.set_shares(Shares::default(), now);
-        Spent {
-            shares: usable,
-            services,
-        }
-    }
-
-    /// Takes over what this VM's predecessor has spent. The shares that the predecessor had
-    /// are usable at once then.
-    pub fn inherit(&mut self, spent: Spent, policy: &forward::Policy, now: clock::Moment) {
-        for (service, spent) in spent.services {
-            for (budgets, calls) in [(&mut self.own, spent.own), (&mut self.shared, spent.shared)] {
-                budgets.of(&service, |budget| budget.add_uncharged(calls, policy, now));
-            }
-            if spent.in_transit {
-                self.inherited_transit.insert(service);
-            }
-        }
-        self.replaced
-            .retain(|(at, _)| *at != clock::Moment::default());
-        self.replaced.push_back((now, spent.shares));
-    }
-
     /// Counts a request of a caller.
     pub fn count_request(
         &mut self,
