--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -49,16 +49,16 @@
     #[prost(message, tag = "6")]
     Answer(wire::Answer),
     #[prost(message, tag = "7")]
-    Spent(Spent),
+    Spending(Spending),
     #[prost(message, tag = "8")]
-    TakeSpent(TakeSpent),
+    TakeSpending(TakeSpending),
 }
 
 /// Says what a VM that ends has spent of the allowance for extra calls: to the VM that
 /// keeps it, and from that one to the VM's successor.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
-pub(super) struct Spent {
+pub(super) struct Spending {
     /// The VM's address for messages of other VMs, which its successor has, too.
     #[prost(string, tag = "1")]
     pub(super) vm: String,
@@ -70,13 +70,13 @@
     pub(super) lent: Option<f64>,
     /// What it has spent, by service.
     #[prost(message, repeated, tag = "4")]
-    pub(super) services: Vec<SpentOn>,
+    pub(super) services: Vec<ServiceSpending>,
 }
 
 /// The extra calls to a service within a VM's last window.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
-pub(super) struct SpentOn {
+pub(super) struct ServiceSpending {
     /// The service.
     #[prost(string, tag = "1")]
     pub(super) service: String,
@@ -91,21 +91,21 @@
     pub(super) in_transit: bool,
 }
 
-/// Asks a VM for the [`Spent`] of the sender's predecessor, once.
+/// Asks a VM for the [`Spending`] of the sender's predecessor, once.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
-pub(super) struct TakeSpent {
+pub(super) struct TakeSpending {
     /// The sender's address for messages of other VMs.
     #[prost(string, tag = "1")]
     pub(super) vm: String,
 }
 
-impl Spent {
+impl Spending {
     /// Encodes what the VM at `vm` has spent.
-    pub(super) fn new(vm: net::SocketAddr, spent: &forward::Spent) -> Self {
+    pub(super) fn new(vm: net::SocketAddr, spent: &forward::Spending) -> Self {
         let (own, lent) = spent.shares.fixed();
         let services = spent.services.iter();
-        let services = services.map(|(service, spent)| SpentOn {
+        let services = services.map(|(service, spent)| ServiceSpending {
             service: service.to_string(),
             own: spent.own,
             shared: spent.shared,
@@ -120,17 +120,17 @@
     }
 
     /// Decodes what was spent; `None` if a service's name is invalid.
-    pub(super) fn read(&self) -> Option<forward::Spent> {
+    pub(super) fn read(&self) -> Option<forward::Spending> {
         let mut services = collections::BTreeMap::new();
         for spent in &self.services {
-            let on = forward::SpentOn {
+            let on = forward::ServiceSpending {
                 own: spent.own,
                 shared: spent.shared,
                 in_transit: spent.in_transit,
             };
             services.insert(spent.service.parse().ok()?, on);
         }
-        Some(forward::Spent {
+        Some(forward::Spending {
             shares: forward::Shares::with_fixed(self.own, self.lent),
             services,
         })
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -48,13 +48,13 @@
                     frame::Kind::GoAway(_) => {
                         engine.with(|state, _| state.peer_going_away(address))
                     }
-                    frame::Kind::Spent(spent) => {
+                    frame::Kind::Spending(spent) => {
                         engine.with(|state, now| state.inherit(&spent, now));
                     }
                     frame::Kind::Batch(_)
                     | frame::Kind::Abandon(_)
                     | frame::Kind::Fetch(_)
-                    | frame::Kind::TakeSpent(_)
+                    | frame::Kind::TakeSpending(_)
                     | frame::Kind::Answer(_) => {
                         log::warn!(vm:% = address; "unexpected message from VM");
                     }
@@ -115,11 +115,11 @@
             log_end = false;
             slot = engine.answer(peer, fetch);
         }
-        frame::Kind::Spent(spent) => {
-            engine.with(|state, now| state.keep_spent(spent, now));
+        frame::Kind::Spending(spent) => {
+            engine.with(|state, now| state.keep_spending(spent, now));
         }
-        frame::Kind::TakeSpent(asked) => {
-            engine.with(|state, now| state.tell_spent(peer, &asked, now));
+        frame::Kind::TakeSpending(asked) => {
+            engine.with(|state, now| state.tell_spending(peer, &asked, now));
         }
         frame::Kind::Report(_) | frame::Kind::GoAway(_) | frame::Kind::Answer(_) => {
             log::warn!(peer = peer; "unexpected message from VM")
--- a/crates/geraniumgauge/src/edge/state/handover.rs
+++ b/crates/geraniumgauge/src/edge/state/handover.rs
@@ -14,7 +14,7 @@
 
 /// What stopped VMs have spent, by their addresses, and when they said so.
 #[derive(Debug, Default)]
-pub(super) struct Kept(collections::HashMap<String, (clock::Moment, frame::Spent)>);
+pub(super) struct Spendings(collections::HashMap<String, (clock::Moment, frame::Spending)>);
 
 impl state::State {
     /// Tells a relay what this VM has spent, and spends nothing any more.
@@ -23,7 +23,7 @@
         let Some(own) = self.own_address else {
             return;
         };
-        let bytes = frame::Frame::bytes(frame::Kind::Spent(frame::Spent::new(own, &spent)));
+        let bytes = frame::Frame::bytes(frame::Kind::Spending(frame::Spending::new(own, &spent)));
         let relays = self.relays.connected();
         let told = relays.into_iter().find(|relay| {
             let sender = self.peers.outgoing.get(relay);
@@ -36,46 +36,46 @@
     }
 
     /// Keeps what a VM that stops has spent, for its successor.
-    pub(in crate::edge) fn keep_spent(&mut self, spent: frame::Spent, now: clock::Moment) {
+    pub(in crate::edge) fn keep_spending(&mut self, spent: frame::Spending, now: clock::Moment) {
         let window = self.fleet.policy.extra_window;
-        let kept = &mut self.peers.kept.0;
+        let kept = &mut self.peers.spendings.0;
         kept.retain(|_, (at, _)| now.since(*at) < window);
         kept.insert(spent.vm.clone(), (now, spent));
     }
 
     /// Tells a VM, over its connection `peer`, what its predecessor has spent, if this VM
     /// keeps that.
-    pub(in crate::edge) fn tell_spent(
+    pub(in crate::edge) fn tell_spending(
         &mut self,
         peer: u64,
-        asked: &frame::TakeSpent,
+        asked: &frame::TakeSpending,
         now: clock::Moment,
     ) {
         let window = self.fleet.policy.extra_window;
-        let kept = self.peers.kept.0.remove(&asked.vm);
+        let kept = self.peers.spendings.0.remove(&asked.vm);
         if let Some((at, spent)) = kept
             && now.since(at) < window
         {
-            self.send_to(peer, frame::Kind::Spent(spent));
+            self.send_to(peer, frame::Kind::Spending(spent));
         }
     }
 
     /// Asks the relay at `relay` what this VM's predecessor has spent.
-    pub(super) fn ask_for_spent(&self, relay: net::SocketAddr, now: clock::Moment) {
+    pub(super) fn ask_for_spending(&self, relay: net::SocketAddr, now: clock::Moment) {
         let age = now.since(clock::Moment::default());
         if let Some(own) = self.own_address
             && age < self.fleet.policy.extra_window
             && let Some(sender) = self.peers.outgoing.get(&relay)
         {
             let vm = own.to_string();
-            let asked = frame::Kind::TakeSpent(frame::TakeSpent { vm });
+            let asked = frame::Kind::TakeSpending(frame::TakeSpending { vm });
             // Without an answer, this VM waits for a window.
             let _ = sender.send(&frame::Frame::bytes(asked));
         }
     }
 
     /// Takes over what this VM's predecessor has spent.
-    pub(in crate::edge) fn inherit(&mut self, spent: &frame::Spent, now: clock::Moment) {
+    pub(in crate::edge) fn inherit(&mut self, spent: &frame::Spending, now: clock::Moment) {
         let Some(spent) = spent.read() else {
             log::warn!(vm = spent.vm.as_str(); "malformed message on what a VM has spent");
             return;
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -38,7 +38,7 @@
     /// Given-up calls whose ends relays and requesters tell each other.
     pub(super) given_up: given_up::Calls,
     /// What stopped VMs have spent, for their successors.
-    pub(super) kept: handover::Kept,
+    pub(super) spendings: handover::Spendings,
 }
 
 impl Peers {
@@ -281,7 +281,7 @@
         self.peers.outgoing.insert(address, sender);
         self.relays.set_connected(address);
         log::info!(vm:% = address; "connected to VM");
-        self.ask_for_spent(address, now);
+        self.ask_for_spending(address, now);
     }
 
     /// Handles the loss of a connection to a relay: ends the calls sent to it as
--- a/crates/geraniumgauge/src/edge/tests/handover.rs
+++ b/crates/geraniumgauge/src/edge/tests/handover.rs
@@ -30,17 +30,17 @@
     }
 
     /// Returns what the successor of the VM at `vm` is told.
-    async fn told(&mut self, vm: &str, seconds: u64) -> Option<frame::Spent> {
-        let asked = frame::TakeSpent { vm: vm.to_owned() };
+    async fn told(&mut self, vm: &str, seconds: u64) -> Option<frame::Spending> {
+        let asked = frame::TakeSpending { vm: vm.to_owned() };
         let now = world::NOW + time::Duration::from_secs(seconds);
-        self.state.tell_spent(self.peer, &asked, now);
+        self.state.tell_spending(self.peer, &asked, now);
         // Marks the end of what was told.
         let end = frame::Kind::GoAway(frame::GoAway {});
         self.state.send_to(self.peer, end);
         let mut told = None;
         loop {
             match self.read().await {
-                frame::Kind::Spent(spent) => told = Some(spent),
+                frame::Kind::Spending(spent) => told = Some(spent),
                 frame::Kind::GoAway(_) => return told,
                 other => panic!("{other:?}"),
             }
@@ -57,8 +57,8 @@
     }
 }
 
-fn spent(vm: &str) -> frame::Spent {
-    frame::Spent {
+fn spent(vm: &str) -> frame::Spending {
+    frame::Spending {
         vm: vm.to_owned(),
         own: 0.25,
         lent: None,
@@ -72,10 +72,10 @@
 fn what_a_vm_has_spent_is_told_once_and_within_a_window() {
     world::run(async {
         let mut keeper = Keeper::new().await;
-        keeper.state.keep_spent(spent("a"), world::NOW);
-        keeper.state.keep_spent(spent("b"), world::NOW);
+        keeper.state.keep_spending(spent("a"), world::NOW);
+        keeper.state.keep_spending(spent("b"), world::NOW);
         assert_eq!(keeper.told("c", 1).await, None);
-        keeper.state.keep_spent(spent("a"), world::NOW);
+        keeper.state.keep_spending(spent("a"), world::NOW);
         assert_eq!(keeper.told("a", 1).await, Some(spent("a")));
         assert_eq!(keeper.told("a", 2).await, None);
         assert_eq!(keeper.told("b", 11).await, None);
@@ -85,9 +85,9 @@
 /// Guards against a successor that is told less than its predecessor has spent.
 #[test]
 fn what_a_vm_has_spent_is_read_as_it_was_sent() {
-    let sent = frame::Spent {
+    let sent = frame::Spending {
         lent: Some(0.5),
-        services: vec![frame::SpentOn {
+        services: vec![frame::ServiceSpending {
             service: "s".to_owned(),
             own: 2,
             shared: 3,
@@ -97,5 +97,5 @@
     };
     let read = sent.read().expect("valid");
     let vm = sent.vm.parse().expect("an address");
-    assert_eq!(frame::Spent::new(vm, &read), sent);
+    assert_eq!(frame::Spending::new(vm, &read), sent);
 }
--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -18,8 +18,8 @@
 
 mod handover;
 
-pub use handover::Spent;
-pub use handover::SpentOn;
+pub use handover::ServiceSpending;
+pub use handover::Spending;
 
 use std::collections;
 
--- a/crates/geraniumgauge/src/forward/allowance/handover.rs
+++ b/crates/geraniumgauge/src/forward/allowance/handover.rs
@@ -10,16 +10,16 @@
 /// What a VM has spent of its shares when it ends, for its successor: the next start on the
 /// same machine.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Spent {
+pub struct Spending {
     /// The shares that it could spend.
     pub shares: forward::Shares,
     /// What was spent within the last window, by service.
-    pub services: collections::BTreeMap<ids::Service, SpentOn>,
+    pub services: collections::BTreeMap<ids::Service, ServiceSpending>,
 }
 
 /// The extra calls to a service that a VM was charged for within its last window.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct SpentOn {
+pub struct ServiceSpending {
     /// Number of calls charged to the budget for its own calls.
     pub own: u32,
     /// Number of calls charged to the budget that it lends from.
@@ -30,9 +30,9 @@
 
 impl allowance::Allowance {
     /// Returns what was spent within the last window, and stops spending.
-    pub fn hand_over(&mut self, policy: &forward::Policy, now: clock::Moment) -> Spent {
+    pub fn hand_over(&mut self, policy: &forward::Policy, now: clock::Moment) -> Spending {
         let usable = self.usable_shares(false, policy, now);
-        let mut services: collections::BTreeMap<ids::Service, SpentOn> = Default::default();
+        let mut services: collections::BTreeMap<ids::Service, ServiceSpending> = Default::default();
         for (payer, budgets) in [
             (allowance::Payer::Own, &mut self.own),
             (allowance::Payer::Shared, &mut self.shared),
@@ -51,7 +51,7 @@
             }
         }
         self.set_shares(forward::Shares::default(), now);
-        Spent {
+        Spending {
             shares: usable,
             services,
         }
@@ -59,7 +59,7 @@
 
     /// Takes over what this VM's predecessor has spent. The shares that the predecessor had
     /// are usable at once then.
-    pub fn inherit(&mut self, spent: Spent, policy: &forward::Policy, now: clock::Moment) {
+    pub fn inherit(&mut self, spent: Spending, policy: &forward::Policy, now: clock::Moment) {
         for (service, spent) in spent.services {
             for (budgets, calls) in [(&mut self.own, spent.own), (&mut self.shared, spent.shared)] {
                 budgets.of(&service, |budget| budget.add_uncharged(calls, policy, now));
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -14,12 +14,12 @@
     }
 
     /// Returns what this VM has spent of its shares, and stops spending.
-    pub fn hand_over(&mut self, now: clock::Moment) -> forward::Spent {
+    pub fn hand_over(&mut self, now: clock::Moment) -> forward::Spending {
         self.allowance.hand_over(&self.policy, now)
     }
 
     /// Takes over what this VM's predecessor has spent of its shares.
-    pub fn inherit(&mut self, spent: forward::Spent, now: clock::Moment) {
+    pub fn inherit(&mut self, spent: forward::Spending, now: clock::Moment) {
         self.allowance.inherit(spent, &self.policy, now);
     }
 
@@ -29,13 +29,12 @@
     }
 
     /// Charges the extra call `call` to `service` and returns the VM whose budget
-    /// is charged. Returns `None` if no budget allows the call. `earlier` are the
-    /// part's other calls.
+    /// is charged. Returns `None` if no budget allows the call.
     pub fn take_extra(
         &mut self,
         service: &ids::Service,
         call: ids::Attempt,
-        earlier: &forward::Earlier,
+        siblings: &forward::Siblings,
         now: clock::Moment,
     ) -> Option<forward::ChargedVm> {
         let expired = self.transit.expire(now);
@@ -46,7 +45,7 @@
             .take_extra(service, limited, &self.policy, now)?
         {
             forward::Grant::Charged(charge) => {
-                self.transit.add(call, charge, earlier);
+                self.transit.add(call, charge, siblings);
                 Some(forward::ChargedVm::Own)
             }
             forward::Grant::AskRelay => Some(forward::ChargedVm::Relay),
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -56,7 +56,7 @@
         let is_extra = part.arrivals > 0;
         let id = fleet.next_call();
         let charged_vm = if is_extra {
-            fleet.take_extra(&part.service, id, &part.earlier(), now)
+            fleet.take_extra(&part.service, id, &part.siblings(), now)
         } else {
             Some(forward::ChargedVm::Own)
         };
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -119,8 +119,8 @@
     }
 
     /// Returns the calls that may arrive as extra ones if another one is made.
-    pub(super) fn earlier(&self) -> forward::Earlier {
-        forward::Earlier {
+    pub(super) fn siblings(&self) -> forward::Siblings {
+        forward::Siblings {
             in_progress: self.calls.iter().map(|call| call.id).collect(),
             lost: self.lost.clone(),
         }
--- a/crates/geraniumgauge/src/forward/tests/misdirected.rs
+++ b/crates/geraniumgauge/src/forward/tests/misdirected.rs
@@ -51,7 +51,7 @@
     /// Returns whether another extra call to `s1` is allowed.
     fn allows_extra(&mut self) -> bool {
         let (call, now) = (ids::Attempt(100), self.world.now);
-        let earlier = forward::Earlier::default();
+        let earlier = forward::Siblings::default();
         let granted = self
             .world
             .fleet
--- a/crates/geraniumgauge/src/forward/tests/transit.rs
+++ b/crates/geraniumgauge/src/forward/tests/transit.rs
@@ -41,8 +41,8 @@
     clock::Moment::from_millis(millis)
 }
 
-fn in_progress(call: ids::Attempt) -> forward::Earlier {
-    forward::Earlier {
+fn in_progress(call: ids::Attempt) -> forward::Siblings {
+    forward::Siblings {
         in_progress: vec![call],
         lost: Vec::new(),
     }
@@ -72,7 +72,7 @@
     let silent = calls.upstreams[0];
     calls.transit.hold(FIRST, silent, at(500));
     let charge = calls.charge();
-    let earlier = forward::Earlier {
+    let earlier = forward::Siblings {
         in_progress: Vec::new(),
         lost: vec![FIRST],
     };
@@ -92,7 +92,7 @@
     let charge = calls.charge();
     calls
         .transit
-        .add(RETRY, charge.clone(), &forward::Earlier::default());
+        .add(RETRY, charge.clone(), &forward::Siblings::default());
     assert_eq!(calls.transit.ended(RETRY).arrived, [charge]);
     assert!(!calls.transit.give_up(RETRY, at(0)));
 }
@@ -132,7 +132,7 @@
         let charge = calls.charge();
         calls
             .transit
-            .add(HEDGE, charge.clone(), &forward::Earlier::default());
+            .add(HEDGE, charge.clone(), &forward::Siblings::default());
         assert!(calls.transit.give_up(HEDGE, at(1000)));
         if ends != "long wait" {
             calls.transit.hold(HEDGE, dead, at(1000));
@@ -158,7 +158,7 @@
     let mut attempt = 100;
     let mut allows = |world: &mut world::World, now| {
         attempt += 1;
-        let (service, earlier) = (world::name(0), forward::Earlier::default());
+        let (service, earlier) = (world::name(0), forward::Siblings::default());
         let call = ids::Attempt(attempt);
         let granted = world.fleet.take_extra(&service, call, &earlier, now);
         granted.is_some()
--- a/crates/geraniumgauge/src/forward/transit.rs
+++ b/crates/geraniumgauge/src/forward/transit.rs
@@ -53,7 +53,7 @@
 
 /// The other calls of an extra call's part.
 #[derive(Debug, Clone, Default)]
-pub struct Earlier {
+pub struct Siblings {
     /// Calls that have no reply yet.
     pub in_progress: Vec<ids::Attempt>,
     /// Calls whose connection was lost.
@@ -82,13 +82,13 @@
 }
 
 impl Transit {
-    /// Adds an extra call. `earlier` are the part's other calls.
-    pub fn add(&mut self, call: ids::Attempt, charge: forward::Charge, earlier: &Earlier) {
-        let unknown = earlier
+    /// Adds an extra call.
+    pub fn add(&mut self, call: ids::Attempt, charge: forward::Charge, siblings: &Siblings) {
+        let unknown = siblings
             .lost
             .iter()
             .filter(|lost| self.by_call.contains_key(lost));
-        let unknown: Vec<ids::Attempt> = unknown.chain(&earlier.in_progress).copied().collect();
+        let unknown: Vec<ids::Attempt> = unknown.chain(&siblings.in_progress).copied().collect();
         let known = unknown.iter().find_map(|call| self.by_call.get(call));
         let id = known.copied().unwrap_or_else(|| self.new_group());
         for call in unknown.into_iter().chain([call]) {
@@ -112,7 +112,7 @@
         earlier: &[registry::Handle],
         now: clock::Moment,
     ) {
-        self.add(call, charge, &Earlier::default());
+        self.add(call, charge, &Siblings::default());
         let id = self.last_group;
         self.group(id).open += earlier.len();
         for upstream in earlier {
