What a VM hands over includes the oldest part of its last window

Found by reading: a VM that stops left out the extra calls of its oldest bucket, those of 9.5 to 10 seconds ago, in what it tells its successor. One that starts and spends within half a second could pass the bound by them.

a_vm_that_stops_tells_all_extra_calls_that_a_window_may_hold failed before at 9,600 ms.

--- a/crates/geraniumgauge/src/forward/budget.rs
+++ b/crates/geraniumgauge/src/forward/budget.rs
@@ -170,7 +170,8 @@
         let requests = f64::from(sum(&self.requests, 0..2 * WINDOW_BUCKETS));
         let allowed = ratio * requests / 2.0 + policy.extra_calls * share.fixed;
         Usage {
-            arrived: sum(&self.extras, 0..WINDOW_BUCKETS),
+            // The oldest bucket lies in the window only in part.
+            arrived: sum(&self.extras, 0..WINDOW_BUCKETS + 1),
             in_transit: self.in_transit,
             allowed: USABLE_SHARE * allowed,
         }
--- a/crates/geraniumgauge/src/forward/tests/allowance.rs
+++ b/crates/geraniumgauge/src/forward/tests/allowance.rs
@@ -127,6 +127,24 @@
     assert!(!fleet.overspent());
 }
 
+/// Guards against extra calls of the oldest part of a window that a successor isn't told of.
+#[test]
+fn a_vm_that_stops_tells_all_extra_calls_that_a_window_may_hold() {
+    let (policy, service) = (spending::policy(), world::name(0));
+    for age_ms in [0, 9400, 9600, 9999] {
+        let mut vm = spending::Vm::start(forward::SizeClass::Small, clock::Moment::default());
+        let at = clock::Moment::from_millis(30_000 - age_ms);
+        let grant = vm.allowance.take_extra(&service, false, &policy, at);
+        let Some(forward::Grant::Charged(charge)) = grant else {
+            panic!("{grant:?}");
+        };
+        vm.allowance.arrived(&charge, &policy, at);
+        let now = clock::Moment::from_millis(30_000);
+        let spent = vm.allowance.hand_over(&policy, now);
+        assert_eq!(spent.services[&service].own, 1, "{age_ms} ms ago");
+    }
+}
+
 /// Guards against calls of VMs that restart while upstreams don't read: the calls arrive when
 /// these go on, with those that the VMs make once their shares are usable again.
 #[test]
