--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -121,8 +121,8 @@
         self.settle(settled, now);
     }
 
-    /// Handles a call of which this VM won't learn whether it arrives, because it was its
-    /// relay's and the relay can't be asked any more.
+    /// Handles a call of which this VM won't learn whether it arrives: its relay can't be
+    /// asked any more, or its connection wasn't kept.
     pub fn call_unwatched(
         &mut self,
         call: ids::Attempt,
--- a/crates/geraniumgauge/src/forward/shares.rs
+++ b/crates/geraniumgauge/src/forward/shares.rs
@@ -11,7 +11,8 @@
 pub struct Shares {
     /// Share for this VM's own calls.
     pub(super) own: budget::Share,
-    /// Share for this VM's own and other VMs' calls. Only large VMs have one.
+    /// Share for this VM's own and other VMs' calls. Only large VMs have one, and VMs that
+    /// don't know the fleet yet, without a fixed part.
     pub(super) lent: Option<budget::Share>,
     /// Whether this VM may ask relays to charge extra calls to their budgets.
     pub(super) may_ask: bool,
