Log once in a window which extra calls a VM made, refused and misdirected

A VM now warns once in a window that a call arrived at another upstream, and once that no budget allowed an extra call, each with the totals since its start, its shares and the number of VMs it counts.

--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -121,6 +121,11 @@
         self.was_set = true;
     }
 
+    /// Returns the shares that were set last.
+    pub fn shares(&self) -> forward::Shares {
+        self.shares
+    }
+
     /// Returns the shares that may be spent: the smallest ones of the last window.
     fn usable_shares(
         &mut self,
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -1,5 +1,6 @@
 //! State shared by all jobs of a VM.
 
+mod account;
 mod extra;
 mod misdirected;
 
@@ -57,6 +58,7 @@
     /// Charges settled since [`Self::take_settled`].
     settled: forward::Settled,
     misdirected: misdirected::Misdirected,
+    account: account::Account,
     /// What was heard of each upstream since this VM's start, by the index of its handle.
     contacts: Vec<contact::Contact>,
     latencies: collections::HashMap<String, rc::Rc<forward::Latency>>,
@@ -78,6 +80,7 @@
             transit: forward::Transit::default(),
             settled: forward::Settled::default(),
             misdirected: misdirected::Misdirected::default(),
+            account: account::Account::default(),
             contacts: Vec::new(),
             latencies: collections::HashMap::new(),
             vms: 1,
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -40,15 +40,20 @@
         let expired = self.transit.expire(now);
         self.settle(expired, now);
         let limited = self.may_have_waiting_calls(service, now);
-        match self
+        let grant = self
             .allowance
-            .take_extra(service, limited, &self.policy, now)?
-        {
-            forward::Grant::Charged(charge) => {
+            .take_extra(service, limited, &self.policy, now);
+        match grant {
+            Some(forward::Grant::Charged(charge)) => {
+                self.account.charged += 1;
                 self.transit.add(call, charge, siblings);
                 Some(forward::ChargedVm::Own)
             }
-            forward::Grant::AskRelay => Some(forward::ChargedVm::Relay),
+            Some(forward::Grant::AskRelay) => Some(forward::ChargedVm::Relay),
+            None => {
+                self.count_refused(service, now);
+                None
+            }
         }
     }
 
@@ -250,8 +255,10 @@
             .allowance
             .take_extra_for_other(&service, limited, &self.policy, now);
         let Some(charge) = charge else {
+            self.count_refused(&service, now);
             return false;
         };
+        self.account.charged += 1;
         self.transit.add_for_other(call, charge, earlier, now);
         true
     }
--- a/crates/geraniumgauge/src/forward/fleet/misdirected.rs
+++ b/crates/geraniumgauge/src/forward/fleet/misdirected.rs
@@ -38,20 +38,17 @@
     /// Handles a reply that shows that a call of this VM to `upstream` has arrived at another
     /// upstream: counts it for the service that has the address, now or once it is known.
     pub fn call_misdirected(&mut self, upstream: registry::Handle, now: clock::Moment) {
-        let meant = &self.registry.get(upstream).entry;
-        let address = meant.address;
-        let holder = self
-            .registry
-            .at(address)
-            .filter(|holder| *holder != upstream);
-        log::info!(
-            address:% = address, service = meant.service.as_str(),
-            holder = holder.map(|holder| self.registry.get(holder).entry.service.as_str());
-            "call arrived at another upstream"
-        );
+        let meant = self.registry.get(upstream).entry.clone();
+        let holder = self.registry.at(meant.address);
+        let holder = holder.filter(|holder| *holder != upstream);
+        let service = holder.map(|holder| self.registry.get(holder).entry.service.clone());
+        self.count_arrived_elsewhere(&meant, service.as_ref(), now);
         match holder {
             Some(holder) => self.count_misdirected(holder, 1, now),
-            None => self.misdirected.add(address, self.policy.extra_window, now),
+            None => {
+                let window = self.policy.extra_window;
+                self.misdirected.add(meant.address, window, now);
+            }
         }
     }
 
