A new connection is checked for the upstream that answers, before a call goes out on it

What callers saw: services got hundreds of arrivals beyond the first of each request, more than the fleet's allowance, after replicas had ended and their addresses had gone to another service.

Cause: a VM took a registration for proof that the upstream is at its address. The news that an address was given away comes late, by the store and by a VM with little processor time; until then each VM called each such address, as often as calls waited for a connection, and could charge the calls only when the 421 was back. Nothing bounds that sum over 61 VMs and 48 addresses.

Why this mends it: a connection leads to the process that accepted it as long as it lasts, so a call can be misdirected on a new connection only. A VM now asks on each new connection who is there, by the service's health check, which names the upstream and is no call, and sends calls only once the right upstream has answered. No news is needed for that, so the bound holds however late it is. The check is left out within reuse_after_s (2 s, the platform's bound) of the start of a call that the upstream answered itself: before then nobody else can have the address. Answers that any upstream may give (503, no capacity) count for nothing.

An upstream that is paused doesn't answer: after 500 ms others are preferred and get the calls that wait, if there are healthy ones, and it is used again when the check is answered.

The same class: relays check upstreams that a requester describes, as these go the same way; a VM that has just started has heard of nobody and checks all; a request that crashes upstreams is suspected also if another upstream already has the address at which the VM looks whether the crashed one is back. VMs connect in advance only to services that their configuration names, since it has the path of the check, and when it names new ones.

Evidence: addresses_given_away_unnoticed_get_no_more_extra_calls_than_allowed failed with 30 extra calls of 16.2 allowed and passes.

The fake upstreams of a test with threads of its own answer health checks now; what it asserts is unchanged. The tests' VMs have reuse_after_s, as the platform's do.

--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -225,8 +225,9 @@
             "configuration in force"
         );
         state.fleet.keep_routes(&table);
-        state.table = Some(rc::Rc::new(table));
-        drop(state);
+        let before = state.table.replace(rc::Rc::new(table));
+        state.preconnect_new_services(before.as_deref());
+        self.run_effects(state);
         self.serve_if_configured();
     }
 
@@ -409,6 +410,13 @@
                     let task = tokio::task::spawn_local(opening.run());
                     state.task_started(link, task.abort_handle());
                 }
+                state::Effect::CheckOverdue { link, at } => {
+                    let engine = self.clone();
+                    tokio::task::spawn_local(async move {
+                        tokio::time::sleep_until(engine.clock.instant(at)).await;
+                        engine.with(|state, now| state.check_overdue(link, now));
+                    });
+                }
                 state::Effect::Sweep => {
                     tokio::task::spawn_local(link::sweep(self.clone()));
                 }
--- a/crates/geraniumgauge/src/edge/instruments.rs
+++ b/crates/geraniumgauge/src/edge/instruments.rs
@@ -17,6 +17,7 @@
     ended: metrics::Counter<u64>,
     call_seconds: metrics::Histogram<f64>,
     connections: metrics::Counter<u64>,
+    identity_checks: metrics::Counter<u64>,
     missing_shards: metrics::Counter<u64>,
     extra_sent: metrics::Counter<u64>,
     extra_used: metrics::Gauge<f64>,
@@ -75,6 +76,10 @@
                 "edge_extra_calls_not_made",
                 "Extra calls charged to this VM that weren't made after all, by service",
             ),
+            identity_checks: counter(
+                "edge_identity_checks",
+                "Checks which upstream a new connection leads to, by outcome",
+            ),
             missing_shards: counter("edge_missing_shards", "Shards left out of merged answers"),
         }
     }
@@ -130,6 +135,12 @@
         self.call_seconds.record(took.as_secs_f64(), &[]);
     }
 
+    /// Counts a check which upstream a new connection leads to.
+    pub fn identity_check(&self, outcome: &'static str) {
+        self.identity_checks
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts an attempt to connect to an upstream.
     pub fn connection(&self, outcome: &'static str) {
         self.connections
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -24,14 +24,16 @@
 /// A connection to an upstream.
 #[derive(Debug)]
 pub(super) struct Link {
-    upstream: registry::Handle,
-    sender: Option<sender::Sender>,
+    pub(super) upstream: registry::Handle,
+    pub(super) sender: Option<sender::Sender>,
+    /// When the upstream was asked for its identity, until it has answered.
+    pub(super) check: Option<clock::Moment>,
     task: Option<task::AbortHandle>,
     call: Option<ids::Attempt>,
     /// A call that was given up: the connection is closed for writing, and the upstream
     /// closes it once it has read the call.
     lingering: Option<ids::Attempt>,
-    keep_alive: Option<time::Duration>,
+    pub(super) keep_alive: Option<time::Duration>,
     head_only: rc::Rc<cell::Cell<bool>>,
 }
 
@@ -46,7 +48,7 @@
     }
 
     /// Returns whether a call to an upstream could be sent at once.
-    pub(super) fn has_idle_connection(&mut self, upstream: registry::Handle) -> bool {
+    pub(in crate::edge) fn has_idle_connection(&mut self, upstream: registry::Handle) -> bool {
         !self.pool(upstream).idle.is_empty()
     }
 
@@ -66,6 +68,10 @@
         }
     }
 
+    fn eligibility(&self, upstream: registry::Handle, now: clock::Moment) -> registry::Eligibility {
+        self.fleet.registry.get(upstream).eligibility(now)
+    }
+
     /// Returns how many connections this VM may have to an upstream.
     fn allowed(&self, upstream: registry::Handle) -> u32 {
         let entry = &self.fleet.registry.get(upstream).entry;
@@ -103,6 +109,7 @@
         let connection = Link {
             upstream,
             sender: None,
+            check: None,
             task: None,
             call: None,
             lingering: None,
@@ -117,6 +124,11 @@
         });
     }
 
+    /// Returns the upstream that a connection is for.
+    pub(in crate::edge) fn upstream_of(&self, link: pool::Link) -> Option<registry::Handle> {
+        self.links.get(&link).map(|connection| connection.upstream)
+    }
+
     /// Stores the handle of the task that reads a connection.
     pub(in crate::edge) fn task_started(&mut self, link: pool::Link, task: task::AbortHandle) {
         if let Some(connection) = self.links.get_mut(&link) {
@@ -137,8 +149,13 @@
         self.instruments.connection("open");
         connection.sender = Some(sender::Sender::new(writer));
         let upstream = connection.upstream;
-        self.pool(upstream).opening -= 1;
-        self.release(link, now);
+        let unused = self.eligibility(upstream, now) == registry::Eligibility::Never;
+        if unused || self.fleet.has_address(upstream, now) {
+            self.pool(upstream).opening -= 1;
+            self.release(link, now);
+        } else {
+            self.check_identity(link, now);
+        }
         self.deliver_ended(now);
     }
 
@@ -173,7 +190,7 @@
 
     /// Records and reports as crash suspects the requests during which an upstream that
     /// is now unreachable closed its connections.
-    fn report_crash_suspects(&mut self, upstream: registry::Handle, now: clock::Moment) {
+    pub(super) fn report_crash_suspects(&mut self, upstream: registry::Handle, now: clock::Moment) {
         for request in self.fleet.suspects.unreachable(upstream, now) {
             let id = &self.fleet.registry.get(upstream).entry.id;
             let refused = self.fleet.suspects.is_quarantined(request, now);
@@ -217,11 +234,11 @@
         }
     }
 
-    /// Returns whether a connection has a call that waits for its reply.
+    /// Returns whether a connection has a call or a check that waits for its reply.
     pub(in crate::edge) fn is_busy(&self, link: pool::Link) -> bool {
         self.links
             .get(&link)
-            .is_some_and(|connection| connection.call.is_some())
+            .is_some_and(|connection| connection.call.is_some() || connection.check.is_some())
     }
 
     /// Handles a reply; `extra_bytes` is set if more bytes were received after it.
@@ -236,6 +253,9 @@
         let Some(connection) = self.links.get_mut(&link) else {
             return false;
         };
+        if let Some(asked_at) = connection.check {
+            return self.check_answered(link, asked_at, &reply, now);
+        }
         let call = connection
             .call
             .and_then(|id| Some((id, self.calls.get(&id)?)));
@@ -299,6 +319,9 @@
         let Some(connection) = self.links.get(&link) else {
             return;
         };
+        if connection.check.is_some() {
+            return self.check_failed(link, error, now);
+        }
         let (upstream, call) = (connection.upstream, connection.call);
         if let Some(given_up) = connection.lingering {
             self.close(link);
@@ -316,9 +339,7 @@
             self.end(id, forward::Verdict::Lost, now);
         }
         self.close(link);
-        if call.is_some()
-            && self.fleet.registry.get(upstream).eligibility(now) != registry::Eligibility::Never
-        {
+        if call.is_some() && self.eligibility(upstream, now) != registry::Eligibility::Never {
             // Whether this one succeeds shows if the upstream crashed.
             self.open(upstream);
         }
@@ -327,12 +348,12 @@
 
     /// Returns a connection to its pool and assigns waiting calls; closes it if the
     /// upstream isn't to be used any more.
-    fn release(&mut self, link: pool::Link, now: clock::Moment) {
+    pub(super) fn release(&mut self, link: pool::Link, now: clock::Moment) {
         let Some(connection) = self.links.get(&link) else {
             return;
         };
         let upstream = connection.upstream;
-        if self.fleet.registry.get(upstream).eligibility(now) == registry::Eligibility::Never {
+        if self.eligibility(upstream, now) == registry::Eligibility::Never {
             self.close(link);
             return;
         }
@@ -345,7 +366,7 @@
         let Some(connection) = self.links.remove(&link) else {
             return;
         };
-        let opening = connection.sender.is_none();
+        let opening = connection.sender.is_none() || connection.check.is_some();
         if connection.lingering.is_some() {
             self.lingering -= 1;
         } else {
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -4,6 +4,7 @@
 mod abandoned;
 mod given_up;
 mod handover;
+mod identity;
 mod links;
 mod relay;
 mod report;
@@ -51,6 +52,8 @@
         address: std::net::SocketAddr,
         head_only: rc::Rc<cell::Cell<bool>>,
     },
+    /// Handle the check of a connection as overdue at time `at`.
+    CheckOverdue { link: pool::Link, at: clock::Moment },
     /// Start the task that stops abandoned calls after a grace period.
     Sweep,
     /// Merge and report the replies to a requester's batch at time `at`.
@@ -274,8 +277,8 @@
                 self.fleet
                     .call_ended(ended.call, call.upstream, call.began, &ended.verdict, now);
             }
-            let made_here = call.via.is_none();
-            if made_here && matches!(ended.verdict, forward::Verdict::Misdirected) {
+            let was_sent_here = call.link.is_some();
+            if was_sent_here && matches!(ended.verdict, forward::Verdict::Misdirected) {
                 self.fleet.call_misdirected(call.upstream, now);
             }
             let took = ended.at.since(call.began);
--- a/crates/geraniumgauge/src/edge/state/upstreams.rs
+++ b/crates/geraniumgauge/src/edge/state/upstreams.rs
@@ -1,7 +1,10 @@
 //! Changes of the upstreams' registrations.
 
+use crate::edge::pool;
 use crate::edge::state;
+use crate::edge::state::links;
 use crate::registry;
+use crate::route;
 use crate::time as clock;
 
 /// Maximum number of upstreams named in one log line.
@@ -74,29 +77,50 @@
     /// if every VM connected to every upstream, a fleet of about sixty would exceed
     /// the upstreams' connection limits, VMs that start at the same time would take
     /// slots from calls, and most connections would be closed unused.
+    ///
+    /// Needs the configuration, by which a new connection is checked.
     fn preconnect(&mut self, upstream: registry::Handle) {
+        let service = &self.fleet.registry.get(upstream).entry.service;
+        let Some(table) = self
+            .table
+            .as_ref()
+            .filter(|table| table.service(service).is_some())
+        else {
+            return;
+        };
         let makes_calls = match self.relays.makes_own_calls() {
             // `preconnect_all` does this once the other VMs are known.
             None => false,
             Some(true) => true,
-            Some(false) => {
-                let service = &self.fleet.registry.get(upstream).entry.service;
-                let table = self.table.as_ref();
-                table.is_some_and(|table| table.is_single(service))
-            }
+            Some(false) => table.is_single(service),
         };
         if makes_calls && self.fleet.is_first_choice(upstream) {
             self.open(upstream);
         }
     }
 
+    /// Opens connections in advance to upstreams of services that the configuration didn't
+    /// name before.
+    pub(in crate::edge) fn preconnect_new_services(&mut self, before: Option<&route::Table>) {
+        let is_new = |upstream: &registry::Handle| {
+            let service = &self.fleet.registry.get(*upstream).entry.service;
+            before.is_none_or(|before| before.service(service).is_none())
+        };
+        let new: Vec<registry::Handle> = self.fleet.registry.registered().filter(is_new).collect();
+        self.preconnect_each(&new);
+    }
+
     /// Opens connections in advance to upstreams that became known before the other
     /// VMs did.
     pub(in crate::edge) fn preconnect_all(&mut self) {
         let upstreams: Vec<registry::Handle> = self.fleet.registry.registered().collect();
+        self.preconnect_each(&upstreams);
+    }
+
+    fn preconnect_each(&mut self, upstreams: &[registry::Handle]) {
         for upstream in upstreams {
-            if self.pool(upstream).links == 0 {
-                self.preconnect(upstream);
+            if self.pool(*upstream).links == 0 {
+                self.preconnect(*upstream);
             }
         }
     }
@@ -107,6 +131,12 @@
         for (link, _) in idle {
             self.close(link);
         }
+        let is_checked = |link: &links::Link| link.upstream == upstream && link.check.is_some();
+        let checked = self.links.iter().filter(|(_, link)| is_checked(link));
+        let checked: Vec<pool::Link> = checked.map(|(id, _)| *id).collect();
+        for link in checked {
+            self.close(link);
+        }
         self.end_waiting(upstream, now);
     }
 }
--- a/crates/geraniumgauge/src/edge/tests/mod.rs
+++ b/crates/geraniumgauge/src/edge/tests/mod.rs
@@ -1,5 +1,6 @@
 mod given_up;
 mod handover;
+mod identity;
 mod peers;
 mod sender;
 mod state;
--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -24,6 +24,7 @@
     request_id: "x-request-id",
     time_left: "x-time-left",
     only_upstream: "x-only",
+    upstream_id: "x-upstream-id",
     signature: "x-signature",
     signatures: "x-signatures",
     missing: "x-missing",
@@ -36,12 +37,17 @@
 }
 
 /// Returns the state of a small VM whose own budget is used up. The only large VM, its
-/// relay, is in data centre `b`, as are the `upstreams` upstreams of service `s`.
+/// relay, is in data centre `b`, as are the `upstreams` upstreams of service `s`, which it has
+/// just heard of.
 pub(super) fn small_vm(relay: net::SocketAddr, upstreams: u16) -> state::State {
     let own = forward::LocalVm {
         data_centre: "a".parse().expect("a name"),
     };
-    let mut fleet = forward::Fleet::new(own, forward::Policy::default());
+    let policy = forward::Policy {
+        address_reuse_delay: time::Duration::from_secs(2),
+        ..forward::Policy::default()
+    };
+    let mut fleet = forward::Fleet::new(own, policy);
     let (size_class, vms) = (forward::SizeClass::Small, 10_000);
     fleet.set_shares(
         forward::Shares::new(size_class, vms, 1),
@@ -60,7 +66,12 @@
             heartbeats: 20,
             started_at: clock::Wall(1),
         };
-        fleet.registry.put(entry, NOW);
+        let changes = fleet.registry.put(entry, NOW);
+        for change in changes {
+            if let registry::Change::Registered(upstream) = change {
+                fleet.upstream_identified(upstream, NOW);
+            }
+        }
     }
     let mut relays = forward::Relays::new("a".parse().expect("a name"), 0.12);
     relays.set(vec![forward::Relay {
@@ -74,7 +85,7 @@
     state::State::new(fleet, relays, NAMES, instruments, suspects)
 }
 
-fn search() -> (rc::Rc<route::table::Entry>, h1::Request) {
+pub(super) fn search() -> (rc::Rc<route::table::Entry>, h1::Request) {
     let route = route::Route {
         name: "r".to_owned(),
         host: "one.example".to_owned(),
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -1,6 +1,7 @@
 //! State shared by all jobs of a VM.
 
 mod account;
+mod address;
 mod extra;
 mod misdirected;
 
@@ -59,6 +60,7 @@
     settled: forward::Settled,
     misdirected: misdirected::Misdirected,
     account: account::Account,
+    addresses: address::Addresses,
     /// What was heard of each upstream since this VM's start, by the index of its handle.
     contacts: Vec<contact::Contact>,
     latencies: collections::HashMap<String, rc::Rc<forward::Latency>>,
@@ -81,6 +83,7 @@
             settled: forward::Settled::default(),
             misdirected: misdirected::Misdirected::default(),
             account: account::Account::default(),
+            addresses: address::Addresses::default(),
             contacts: Vec::new(),
             latencies: collections::HashMap::new(),
             vms: 1,
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -86,6 +86,13 @@
             _ => self.transit.ended(call),
         };
         self.settle(settled, now);
+        // An upstream that isn't meant may reject a call before it reads for whom it is.
+        if matches!(
+            verdict,
+            forward::Verdict::Good(_) | forward::Verdict::Failure(_)
+        ) {
+            self.upstream_identified(upstream, began);
+        }
         match verdict {
             forward::Verdict::Good(_) | forward::Verdict::Failure(_) | forward::Verdict::NotRun => {
                 self.upstream_answered(upstream, began, now);
--- a/crates/geraniumgauge/src/forward/health.rs
+++ b/crates/geraniumgauge/src/forward/health.rs
@@ -73,6 +73,8 @@
     slowness_updated: clock::Moment,
     /// Set while a late call has no reply.
     late: bool,
+    /// Set while the check of a new connection is overdue.
+    check_late: bool,
     slow_replies: u32,
     slow_until: clock::Moment,
     backoff: store::Backoff,
@@ -91,6 +93,7 @@
             slowness: 1.0,
             slowness_updated: clock::Moment::default(),
             late: false,
+            check_late: false,
             slow_replies: 0,
             slow_until: clock::Moment::default(),
             backoff: store::Backoff::new(MIN_BACKOFF, MAX_BACKOFF),
@@ -202,7 +205,7 @@
             slowness: self.slowness(now),
             declined: self.declined(now),
         };
-        let is_unhealthy = self.late
+        let is_unhealthy = self.is_late()
             || !self.is_up(now)
             || advice.slowness >= ADVICE_MIN_SLOWNESS
             || advice.declined >= ADVICE_MIN_DECLINED;
@@ -252,9 +255,14 @@
         self.full_until > now
     }
 
-    /// Returns whether a call to the upstream is overdue.
+    /// Records whether the check of a new connection is overdue.
+    pub fn set_check_late(&mut self, late: bool) {
+        self.check_late = late;
+    }
+
+    /// Returns whether a call to the upstream, or the check of a connection, is overdue.
     pub fn is_late(&self) -> bool {
-        self.late
+        self.late || self.check_late
     }
 
     /// Returns the estimated time of calls relative to their typical time.
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -60,7 +60,7 @@
 /// How long an upstream that reported no capacity is avoided, and the retry
 /// delay that callers get in that case. Some queue has drained by then, and
 /// callers that were refused together come back at different times.
-const NO_CAPACITY_DELAY: time::Duration = time::Duration::from_millis(40);
+pub(crate) const NO_CAPACITY_DELAY: time::Duration = time::Duration::from_millis(40);
 
 /// Settings for running requests. Durations are measured on this VM's clock.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -88,6 +88,8 @@
     pub extra_calls: f64,
     /// Length of the window in which extra calls are counted.
     pub extra_window: time::Duration,
+    /// Time from an upstream's end for which no other one gets its address.
+    pub address_reuse_delay: time::Duration,
 }
 
 impl Default for Policy {
@@ -100,6 +102,7 @@
             extra_share: rate::Share::percent(20),
             extra_calls: 10.0,
             extra_window: time::Duration::from_secs(10),
+            address_reuse_delay: time::Duration::ZERO,
         }
     }
 }
--- a/crates/geraniumgauge/src/forward/tests/mod.rs
+++ b/crates/geraniumgauge/src/forward/tests/mod.rs
@@ -1,3 +1,4 @@
+mod address;
 mod advice;
 mod allowance;
 mod budget;
--- a/crates/geraniumgauge/src/h1/mod.rs
+++ b/crates/geraniumgauge/src/h1/mod.rs
@@ -34,6 +34,8 @@
     pub time_left: &'static str,
     /// The id of the only upstream that may run the call.
     pub only_upstream: &'static str,
+    /// The id of the upstream that answers a health check.
+    pub upstream_id: &'static str,
     /// The signature that an upstream puts on a reply.
     pub signature: &'static str,
     /// The signatures of the replies from which an answer was merged.
--- a/crates/geraniumgauge/src/h1/reply.rs
+++ b/crates/geraniumgauge/src/h1/reply.rs
@@ -15,6 +15,8 @@
     pub status: u16,
     /// The echoed request id.
     pub id: Option<String>,
+    /// The id that the upstream says it has, as in answers to health checks.
+    pub upstream_id: Option<String>,
     /// The upstream's signature.
     pub signature: Option<String>,
     /// Whether the upstream states that it didn't run the call.
@@ -37,6 +39,7 @@
         Self {
             status: 200,
             id: None,
+            upstream_id: None,
             signature: Some(signature),
             not_run: false,
             headers: Vec::new(),
@@ -92,6 +95,7 @@
         let mut reply = Reply {
             status: parsed.code.unwrap_or_default(),
             id: None,
+            upstream_id: None,
             signature: None,
             not_run: false,
             headers: Vec::new(),
@@ -118,6 +122,8 @@
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is(self.names.request_id) {
             reply.id = Some(head::text(header.value)?.to_owned());
+        } else if is(self.names.upstream_id) {
+            reply.upstream_id = Some(head::text(header.value)?.to_owned());
         } else if is(self.names.signature) {
             reply.signature = Some(head::text(header.value)?.to_owned());
         } else if is(self.names.not_run) {
--- a/crates/geraniumgauge/src/h1/tests.rs
+++ b/crates/geraniumgauge/src/h1/tests.rs
@@ -6,6 +6,7 @@
     request_id: "request-id",
     time_left: "time-left",
     only_upstream: "only-upstream",
+    upstream_id: "upstream-id",
     signature: "signature",
     signatures: "signatures",
     missing: "missing",
--- a/crates/geraniumgauge/src/route/mod.rs
+++ b/crates/geraniumgauge/src/route/mod.rs
@@ -25,15 +25,17 @@
     pub version: ids::Generation,
     /// Routes in no particular order.
     pub routes: Vec<Route>,
-    /// Limits for calls to each service's upstreams.
+    /// How each service's upstreams are called.
     pub services: collections::BTreeMap<ids::Service, Service>,
     /// Limits for the requests of callers.
     pub limits: Limits,
 }
 
-/// Limits for calls to one service's upstreams.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// How one service's upstreams are called.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Service {
+    /// Path of the upstreams' health checks, which name the upstream that answers.
+    pub health_path: String,
     /// Maximum number of connections from all VMs together to each upstream.
     pub max_connections: u32,
 }
