A relay checks an upstream that its requester describes: test

A call for another VM to an address that the requester sent along takes the same way as all calls; the test holds that.

--- a/crates/geraniumgauge/src/edge/tests/identity.rs
+++ b/crates/geraniumgauge/src/edge/tests/identity.rs
@@ -3,10 +3,13 @@
 use std::rc;
 use std::time;
 
+use prost::Message as _;
 use tokio::io::AsyncReadExt as _;
 
 use super::state as world;
+use crate::edge::frame;
 use crate::edge::pool;
+use crate::edge::sender;
 use crate::edge::state;
 use crate::h1;
 use crate::ids;
@@ -18,7 +21,7 @@
 /// A time at which addresses of upstreams that were heard at [`world::NOW`] may be reused.
 const LATER: clock::Moment = clock::Moment::from_millis(33_000);
 
-/// A VM of which a search waits for a connection to one of two upstreams.
+/// A VM of which a call waits for a connection to an upstream.
 struct Vm {
     state: state::State,
     link: pool::Link,
@@ -27,7 +30,8 @@
 }
 
 impl Vm {
-    fn new(now: clock::Moment) -> Self {
+    /// Returns a VM with a search, whose service has two upstreams.
+    fn searching(now: clock::Moment) -> Self {
         let mut state = world::small_vm(world::address(9), 2);
         state.table = Some(rc::Rc::new(table()));
         let (entry, request) = world::search();
@@ -40,6 +44,41 @@
         }
     }
 
+    /// Returns a relay that is asked to call an upstream of which it hasn't heard.
+    async fn relaying() -> (Self, tokio::net::TcpStream) {
+        let mut state = world::small_vm(world::address(9), 1);
+        state.table = Some(rc::Rc::new(table()));
+        let (writer, requester) = world::connection().await;
+        let peer = state.peer_accepted(sender::Sender::new(writer));
+        let mut entry = state
+            .fleet
+            .registry
+            .iter()
+            .next()
+            .expect("an upstream")
+            .entry
+            .clone();
+        entry.id = "unheard".parse().expect("an id");
+        entry.address = world::address(8);
+        let batch = frame::Batch {
+            request_id: "q1".to_owned(),
+            head: "GET / HTTP/1.1\r\n".into(),
+            timeout_us: 1_000_000,
+            calls: vec![frame::Call::new(ids::Attempt(7), &entry, true)],
+            first: true,
+            mandatory: true,
+            ..frame::Batch::default()
+        };
+        state.batch_received(peer, batch, world::NOW);
+        let link = opened(&mut state).expect("a connection is opened");
+        let relay = Self {
+            state,
+            link,
+            upstream: None,
+        };
+        (relay, requester)
+    }
+
     async fn connect(&mut self, now: clock::Moment) {
         let (writer, upstream) = world::connection().await;
         self.upstream = Some(upstream);
@@ -106,7 +145,7 @@
 #[test]
 fn no_call_is_sent_where_another_upstream_answers() {
     world::run(async {
-        let mut vm = Vm::new(LATER);
+        let mut vm = Vm::searching(LATER);
         vm.connect(LATER).await;
         let sent = vm.received().await;
         assert!(sent.starts_with("GET /health HTTP/1.1\r\n"), "{sent}");
@@ -115,10 +154,30 @@
     });
 }
 
+/// Guards against a call to an address that a requester sent along, and that another upstream
+/// has now.
+#[test]
+fn a_relay_sends_no_call_where_another_upstream_answers() {
+    world::run(async {
+        let (mut vm, mut requester) = Vm::relaying().await;
+        vm.connect(world::NOW).await;
+        let sent = vm.received().await;
+        assert!(sent.starts_with("GET /health HTTP/1.1\r\n"), "{sent}");
+        vm.answer("another", world::NOW);
+        let mut bytes = [0; 1024];
+        let count = requester.read(&mut bytes).await.expect("a report");
+        let report = frame::Frame::decode(&bytes[4..count]).expect("a frame");
+        let Some(frame::Kind::Report(report)) = report.kind else {
+            panic!("{report:?}");
+        };
+        assert_eq!(report.ends[0].how(), frame::How::Misdirected);
+    });
+}
+
 #[test]
 fn a_call_is_sent_once_the_upstream_has_named_itself() {
     world::run(async {
-        let mut vm = Vm::new(LATER);
+        let mut vm = Vm::searching(LATER);
         vm.connect(LATER).await;
         vm.received().await;
         let id = vm.upstream_id();
@@ -132,7 +191,7 @@
 #[test]
 fn an_upstream_that_answered_just_before_isnt_checked() {
     world::run(async {
-        let mut vm = Vm::new(world::NOW);
+        let mut vm = Vm::searching(world::NOW);
         vm.connect(world::NOW).await;
         let sent = vm.received().await;
         assert!(sent.contains("x-only: u"), "{sent}");
@@ -144,7 +203,7 @@
 #[test]
 fn a_paused_upstream_doesnt_hold_calls_and_is_used_when_it_goes_on() {
     world::run(async {
-        let mut vm = Vm::new(LATER);
+        let mut vm = Vm::searching(LATER);
         vm.connect(LATER).await;
         let overdue = vm.state.effects.iter().find_map(|effect| match effect {
             state::Effect::CheckOverdue { at, .. } => Some(*at),
@@ -168,7 +227,7 @@
 #[test]
 fn an_upstream_whose_address_was_given_away_counts_as_crashed() {
     world::run(async {
-        let mut vm = Vm::new(LATER);
+        let mut vm = Vm::searching(LATER);
         vm.connect(LATER).await;
         let id = vm.upstream_id();
         vm.answer(id.as_str(), LATER);
