--- a/crates/geraniumgauge/src/edge/state/identity.rs
+++ b/crates/geraniumgauge/src/edge/state/identity.rs
@@ -146,10 +146,9 @@
 
     /// Handles a check that can't be answered any more: no call may be sent on the connection.
     pub(super) fn check_failed(&mut self, link: pool::Link, why: &str, now: clock::Moment) {
-        let Some(connection) = self.links.get(&link) else {
+        let Some(upstream) = self.upstream_of(link) else {
             return;
         };
-        let upstream = connection.upstream;
         self.instruments.identity_check("failed");
         let entry = &self.fleet.registry.get(upstream).entry;
         log::info!(
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -2,6 +2,7 @@
 //! task is queued as [`Effect`]s.
 
 mod abandoned;
+mod ended;
 mod given_up;
 mod handover;
 mod identity;
@@ -18,7 +19,6 @@
 use std::fmt;
 use std::net;
 use std::rc;
-use std::time;
 
 use tokio::sync;
 
@@ -60,14 +60,6 @@
     Merge { batch: u64, at: clock::Moment },
 }
 
-/// A call that has ended, to be delivered to its owner.
-#[derive(Debug)]
-struct Ended {
-    call: ids::Attempt,
-    verdict: forward::Verdict,
-    at: clock::Moment,
-}
-
 /// The state of the edge: requests, calls, connections and what is known of
 /// upstreams and relays.
 #[derive(Debug)]
@@ -93,7 +85,7 @@
     crash_suspects: sync::mpsc::UnboundedSender<ids::Fingerprint>,
     /// Abandoned calls in progress and when to stop each, soonest first.
     abandoned: collections::VecDeque<(clock::Moment, ids::Attempt)>,
-    ended: collections::VecDeque<Ended>,
+    ended: collections::VecDeque<ended::Ended>,
     last_id: u64,
     /// Reused buffer for encoding calls.
     scratch: Vec<u8>,
@@ -259,101 +251,6 @@
         }
     }
 
-    /// Queues a call's end for [`Self::deliver_ended`].
-    fn end(&mut self, call: ids::Attempt, verdict: forward::Verdict, at: clock::Moment) {
-        self.ended.push_back(Ended { call, verdict, at });
-    }
-
-    /// Delivers queued ends of calls to their owners until the queue is empty;
-    /// handling one may queue more.
-    fn deliver_ended(&mut self, now: clock::Moment) {
-        while let Some(ended) = self.ended.pop_front() {
-            let Some(call) = self.calls.remove(&ended.call) else {
-                continue;
-            };
-            if call.unwatched {
-                self.fleet.call_unwatched(ended.call, call.upstream, now);
-            } else {
-                self.fleet
-                    .call_ended(ended.call, call.upstream, call.began, &ended.verdict, now);
-            }
-            let was_sent_here = call.link.is_some();
-            if was_sent_here && matches!(ended.verdict, forward::Verdict::Misdirected) {
-                self.fleet.call_misdirected(call.upstream, now);
-            }
-            let took = ended.at.since(call.began);
-            let good = matches!(ended.verdict, forward::Verdict::Good(_));
-            if good && !self.fleet.suspects.is_empty() {
-                self.fleet.suspects.clear(call.message.fingerprint());
-            }
-            self.instruments.ended(verdict_name(&ended.verdict), took);
-            if call.abandoned {
-                self.abandoned_call_ended(&call, &ended.verdict, now);
-                let was_made = !matches!(
-                    ended.verdict,
-                    forward::Verdict::NotSent | forward::Verdict::Misdirected
-                );
-                self.report_over(ended.call, was_made);
-                continue;
-            }
-            match call.owner {
-                call::Owner::Batch { batch, remote } => {
-                    self.fleet
-                        .record_end(&call.made(), &ended.verdict, took, now);
-                    self.batch_call_ended(batch, remote, ended.verdict, took, now);
-                }
-                call::Owner::Job { job, part } => {
-                    self.job_call_ended(job, part, &call, ended, took, now);
-                }
-            }
-        }
-        self.count_settled();
-    }
-
-    /// Counts the extra calls whose charge was settled.
-    fn count_settled(&mut self) {
-        let settled = self.fleet.take_settled();
-        for charge in &settled.arrived {
-            self.instruments.extra_call_arrived(&charge.service);
-        }
-        for charge in &settled.not_made {
-            self.instruments.extra_call_not_made(&charge.service);
-        }
-    }
-
-    /// Passes the end of a call to its job.
-    fn job_call_ended(
-        &mut self,
-        id: u64,
-        part: usize,
-        call: &call::Call,
-        ended: Ended,
-        took: time::Duration,
-        now: clock::Moment,
-    ) {
-        let Some(running) = self.running.get_mut(&id) else {
-            return;
-        };
-        if !matches!(ended.verdict, forward::Verdict::Good(_)) {
-            let entry = &self.fleet.registry.get(call.upstream).entry;
-            log::info!(
-                request = call.message.id.as_str(), service = entry.service.as_str(),
-                upstream = entry.id.as_str(), how = verdict_name(&ended.verdict),
-                took_ms = took.as_millis() as u64;
-                "call ended without a usable reply"
-            );
-        }
-        let mut actions = Vec::new();
-        let end = forward::End {
-            call: ended.call,
-            part,
-            verdict: ended.verdict,
-            took,
-        };
-        running.job.ended(end, &mut self.fleet, now, &mut actions);
-        self.apply(id, actions, now);
-    }
-
     /// Starts a call for a job on one of this VM's own connections.
     fn start_call(&mut self, job: u64, send: forward::Send, now: clock::Moment) {
         let Some(running) = self.running.get(&job) else {
@@ -413,16 +310,3 @@
         }
     }
 }
-
-fn verdict_name(verdict: &forward::Verdict) -> &'static str {
-    match verdict {
-        forward::Verdict::Good(_) => "good",
-        forward::Verdict::Failure(_) => "failure",
-        forward::Verdict::NotRun => "not_run",
-        forward::Verdict::Misdirected => "misdirected",
-        forward::Verdict::NotSent => "not_sent",
-        forward::Verdict::Advised(_) => "advised",
-        forward::Verdict::NoBudget => "unpaid",
-        forward::Verdict::Lost => "lost",
-    }
-}
