A check whose answer names no upstream isn't taken for one of a full upstream

An upstream of another service may have another path for health checks, and answers 400 or 404 without an id. Taken for full, it would have been checked again after 40 ms, on a new connection each time, until the VM learns that the address was given away. It now counts as not reachable, which backs off up to a second; only 429 and 503 with the statement that nothing ran count as full. The test fails with the code of before (400 counted as full).

--- a/crates/geraniumgauge/src/edge/state/identity.rs
+++ b/crates/geraniumgauge/src/edge/state/identity.rs
@@ -15,7 +15,7 @@
 
 /// Time after which a check is overdue: other upstreams are preferred, and get the calls that
 /// wait for the connection. An upstream that is paused answers once it goes on.
-const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const CHECK_OVERDUE_AFTER: time::Duration = time::Duration::from_millis(500);
 
 /// What an upstream's answer to the check says.
 enum Identity {
@@ -23,8 +23,10 @@
     Same,
     /// Another upstream has the address.
     Other,
-    /// It doesn't say: it rejected the check.
-    Unsaid,
+    /// It has no capacity for the check.
+    Full,
+    /// The answer names no upstream, as where another service has other health checks.
+    Unnamed,
 }
 
 impl state::State {
@@ -50,7 +52,7 @@
         if !sent {
             return self.check_failed(link, "the connection failed", now);
         }
-        let at = now + CHECK_TIMEOUT;
+        let at = now + CHECK_OVERDUE_AFTER;
         self.effects.push(state::Effect::CheckOverdue { link, at });
     }
 
@@ -88,7 +90,11 @@
                 self.other_upstream_found(link, upstream, reply, now);
                 false
             }
-            Identity::Unsaid => {
+            Identity::Unnamed => {
+                self.check_failed(link, "the answer names no upstream", now);
+                false
+            }
+            Identity::Full => {
                 self.instruments.identity_check("rejected");
                 let health = self.fleet.health(upstream);
                 health.set_check_late(false);
@@ -169,6 +175,7 @@
     match reply.upstream_id.as_deref() {
         Some(id) if id == meant.id.as_str() => Identity::Same,
         Some(_) => Identity::Other,
-        None => Identity::Unsaid,
+        None if reply.not_run && matches!(reply.status, 429 | 503) => Identity::Full,
+        None => Identity::Unnamed,
     }
 }
--- a/crates/geraniumgauge/src/edge/tests/identity.rs
+++ b/crates/geraniumgauge/src/edge/tests/identity.rs
@@ -101,6 +101,14 @@
         self.state.replied(self.link, reply, false, now)
     }
 
+    /// The upstream answers the check with this status, and doesn't name itself.
+    fn reject(&mut self, status: u16, now: clock::Moment) {
+        let mut reply = h1::Reply::merged(String::new(), bytes::Bytes::new());
+        reply.status = status;
+        reply.not_run = true;
+        self.state.replied(self.link, reply, false, now);
+    }
+
     /// Returns the upstream that the connection is for.
     fn upstream(&self) -> registry::Handle {
         let upstream = self.state.upstream_of(self.link);
@@ -187,6 +195,25 @@
     });
 }
 
+/// Guards against a call on a connection of which only the check's rejection is known, and
+/// against an upstream that is avoided for long as it was full for a moment.
+#[test]
+fn no_call_is_sent_where_the_check_is_rejected() {
+    for (status, is_full) in [(503, true), (400, false)] {
+        world::run(async {
+            let mut vm = Vm::searching(LATER);
+            vm.connect(LATER).await;
+            vm.received().await;
+            let upstream = vm.upstream();
+            vm.reject(status, LATER);
+            assert!(opened(&mut vm.state).is_some(), "the call goes elsewhere");
+            let health = vm.state.fleet.health(upstream);
+            assert_eq!(health.is_full(LATER), is_full, "{status}");
+            assert_eq!(health.is_up(LATER), is_full, "{status}");
+        });
+    }
+}
+
 /// Guards against checks that cost a round trip for each connection.
 #[test]
 fn an_upstream_that_answered_just_before_isnt_checked() {
