--- a/review/cases.rs
+++ b/review/cases.rs
@@ -257,6 +257,9 @@
             world.store.remove("servers", &format!("agent-{number}"));
         }
     }
+    for vm in &vms {
+        vm.wait_ready(ms(8000))?;
+    }
     clients.send_for(world, &callers, "after", ms(40_000));
     let ends = clients.wait();
     let share = |from: Instant, to: Instant| {
