--- a/crates/geraniumgauge/src/edge/state/ended.rs
+++ b/crates/geraniumgauge/src/edge/state/ended.rs
@@ -31,9 +31,14 @@
             };
             if call.unwatched {
                 self.fleet.call_unwatched(ended.call, call.upstream, now);
-            } else {
-                self.fleet
-                    .call_ended(ended.call, call.upstream, call.began, &ended.verdict, now);
+            } else if self.fleet.call_ended(
+                ended.call,
+                call.upstream,
+                call.began,
+                &ended.verdict,
+                now,
+            ) {
+                self.log_given_back(&call, &ended.verdict);
             }
             let was_sent_here = call.link.is_some();
             if was_sent_here && matches!(ended.verdict, forward::Verdict::Misdirected) {
@@ -68,6 +73,16 @@
         self.count_settled();
     }
 
+    /// Logs that the charge for an extra call was given back.
+    fn log_given_back(&self, call: &call::Call, verdict: &forward::Verdict) {
+        let entry = &self.fleet.registry.get(call.upstream).entry;
+        log::info!(
+            request = call.message.id.as_str(), service = entry.service.as_str(),
+            upstream = entry.id.as_str(), how = verdict_name(verdict);
+            "charge given back: the extra call wasn't made"
+        );
+    }
+
     /// Counts the extra calls whose charge was settled.
     pub(super) fn count_settled(&mut self) {
         let settled = self.fleet.take_settled();
@@ -92,7 +107,13 @@
         let Some(running) = self.running.get_mut(&id) else {
             return;
         };
-        if !matches!(ended.verdict, forward::Verdict::Good(_)) {
+        // What relays refuse or advise against is counted; a line for each such call would fill
+        // the log in a retry storm.
+        let is_logged = !matches!(
+            ended.verdict,
+            forward::Verdict::Good(_) | forward::Verdict::NoBudget | forward::Verdict::Advised(_)
+        );
+        if is_logged {
             let entry = &self.fleet.registry.get(call.upstream).entry;
             log::info!(
                 request = call.message.id.as_str(), service = entry.service.as_str(),
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -267,14 +267,14 @@
         self.dispatch(send.upstream, now);
     }
 
-    /// Logs a call unless it is the first one for its part.
+    /// Logs and counts an extra call that a budget of this VM is charged for.
     fn log_extra_call(
         &mut self,
         message: &call::Message,
         send: &forward::Send,
         now: clock::Moment,
     ) {
-        if send.reason == forward::CallReason::First {
+        if !send.is_extra || send.charged_vm != forward::ChargedVm::Own {
             return;
         }
         let usage = self.fleet.extra_usage(send.call, now);
@@ -282,15 +282,13 @@
         log::info!(
             budget:% = OrDash(usage),
             request = message.id.as_str(), service = entry.service.as_str(),
-            upstream = entry.id.as_str(), why:% = send.reason, payer:% = send.charged_vm,
+            upstream = entry.id.as_str(), why:% = send.reason,
             left_ms = now.until(message.deadline).as_millis() as u64,
             vm_age_ms = now.since(clock::Moment::default()).as_millis() as u64,
             vms = self.fleet.vms(), vms_known = self.relays.known_vms();
             "extra call"
         );
-        if send.is_extra && send.charged_vm == forward::ChargedVm::Own {
-            self.instruments.extra_call_sent(&entry.service, usage);
-        }
+        self.instruments.extra_call_sent(&entry.service, usage);
     }
 
     /// Returns the number of callers' requests and requesters' batches in progress.
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -2,6 +2,7 @@
 
 use crate::forward;
 use crate::forward::contact;
+use crate::forward::fleet::account;
 use crate::forward::transit;
 use crate::ids;
 use crate::registry;
@@ -45,13 +46,16 @@
             .take_extra(service, limited, &self.policy, now);
         match grant {
             Some(forward::Grant::Charged(charge)) => {
-                self.account.charged += 1;
+                self.count_extra(service, account::Event::Own, now);
                 self.transit.add(call, charge, siblings);
                 Some(forward::ChargedVm::Own)
             }
-            Some(forward::Grant::AskRelay) => Some(forward::ChargedVm::Relay),
+            Some(forward::Grant::AskRelay) => {
+                self.count_extra(service, account::Event::ByRelay, now);
+                Some(forward::ChargedVm::Relay)
+            }
             None => {
-                self.count_refused(service, now);
+                self.count_extra(service, account::Event::Refused, now);
                 None
             }
         }
@@ -69,7 +73,8 @@
     }
 
     /// Handles the end of a call that began at `began`: settles its charge, and those
-    /// of calls for which its reply shows that they have arrived.
+    /// of calls for which its reply shows that they have arrived. Returns whether a charge was
+    /// given back.
     pub fn call_ended(
         &mut self,
         call: ids::Attempt,
@@ -77,7 +82,7 @@
         began: clock::Moment,
         verdict: &forward::Verdict,
         now: clock::Moment,
-    ) {
+    ) -> bool {
         let settled = match verdict {
             forward::Verdict::NotSent
             | forward::Verdict::Misdirected
@@ -85,6 +90,7 @@
             | forward::Verdict::NoBudget => self.transit.not_made(call),
             _ => self.transit.ended(call),
         };
+        let given_back = !settled.not_made.is_empty();
         self.settle(settled, now);
         // An upstream that isn't meant may reject a call before it reads for whom it is.
         if matches!(
@@ -100,6 +106,7 @@
             forward::Verdict::Misdirected => self.upstream_gone(upstream, "misdirected", now),
             _ => {}
         }
+        given_back
     }
 
     /// Handles a call that was given up without a reply. Returns whether it keeps
@@ -223,6 +230,7 @@
     fn settle(&mut self, settled: forward::Settled, now: clock::Moment) {
         for charge in &settled.not_made {
             self.allowance.refund(charge);
+            self.count_extra(&charge.service, account::Event::GivenBack, now);
         }
         for charge in &settled.arrived {
             self.allowance.arrived(charge, &self.policy, now);
@@ -262,10 +270,10 @@
             .allowance
             .take_extra_for_other(&service, limited, &self.policy, now);
         let Some(charge) = charge else {
-            self.count_refused(&service, now);
+            self.count_extra(&service, account::Event::Refused, now);
             return false;
         };
-        self.account.charged += 1;
+        self.count_extra(&service, account::Event::ForOther, now);
         self.transit.add_for_other(call, charge, earlier, now);
         true
     }
--- a/crates/geraniumgauge/src/logs/bounded.rs
+++ b/crates/geraniumgauge/src/logs/bounded.rs
@@ -102,7 +102,9 @@
         let mut text = std::mem::take(&mut self.text);
         let dropped = std::mem::take(&mut self.dropped);
         if dropped > 0 {
+            let now = time::SystemTime::now();
             let line = serde_json::json!({
+                "time": humantime::format_rfc3339_millis(now).to_string(),
                 "level": "WARN",
                 "target": module_path!(),
                 "message": "log lines dropped",
