An extra call needs a permit; a relay that pays for a single request's call makes it

Cause: a small VM whose own share of the allowance is used up marks an extra call as one that a relay is to charge. Only calls of searches were passed on to relays; those of other requests were made directly, and no budget was charged. The decision and the payment were two fields of a value that anyone could copy, with a way between them that forgot the second.

Now a call can't wait for a connection without a permit, which only the budgets and the first call of a part hand out, which can't be copied, and which is used up when the call is written. A call that a relay is to charge has none, so it goes to a relay or ends. For requests to one replica the relay passes the upstream's reply on whole; at once it says that it makes the call, so that a slow upstream isn't taken for a silent relay. A relay of an earlier version merges the reply, which isn't used: the call counts as lost. A relay of the requester's own data centre may pay as well.

The test an_extra_call_of_a_single_request_without_a_relay_to_pay_isnt_made failed before: a connection to the second upstream.

--- a/crates/geraniumgauge/src/edge/call.rs
+++ b/crates/geraniumgauge/src/edge/call.rs
@@ -104,6 +104,16 @@
     }
 }
 
+/// The relay that makes a call.
+#[derive(Debug)]
+pub(super) struct Via {
+    /// The relay's address.
+    pub(super) relay: net::SocketAddr,
+    /// This VM's permit, with which it may send the call itself; `None` if the relay charges
+    /// a budget of its own.
+    pub(super) permit: Option<forward::Permit>,
+}
+
 /// A call in progress.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -118,9 +128,7 @@
     /// The connection to which the call was written.
     pub(super) link: Option<pool::Link>,
     /// The relay that makes the call; `None` where this VM makes it.
-    pub(super) via: Option<net::SocketAddr>,
-    /// The VM whose budget is charged if this is an extra call.
-    pub(super) charged_vm: forward::ChargedVm,
+    pub(super) via: Option<Via>,
     /// Typical duration of such calls.
     pub(super) typical_call_time: time::Duration,
     /// Whether the result is no longer wanted.
@@ -145,7 +153,6 @@
             message,
             link: None,
             via: None,
-            charged_vm: forward::ChargedVm::Own,
             typical_call_time,
             abandoned: false,
             unwatched: false,
--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -14,6 +14,7 @@
 use prost::Message as _;
 
 use crate::forward;
+use crate::h1;
 use crate::ids;
 use crate::registry;
 use crate::spread::wire;
@@ -21,6 +22,9 @@
 /// Largest frame in bytes. The merged replies of a search hold only its top
 /// records, so they fit.
 pub(super) const MAX_FRAME_LEN: usize = 4 << 20;
+/// Largest body in bytes of a request or a reply in a frame. Leaves room for what else the
+/// frame contains, such as the largest head.
+pub(super) const MAX_BODY_LEN: usize = MAX_FRAME_LEN - (1 << 20);
 /// Size in bytes of the length prefix of a frame.
 const LENGTH_PREFIX: usize = 4;
 
@@ -184,6 +188,9 @@
     /// Whether the relay makes the calls even to upstreams it advises against.
     #[prost(bool, tag = "12")]
     pub(super) mandatory: bool,
+    /// Whether the relay reports replies whole in place of merging their records.
+    #[prost(bool, tag = "13")]
+    pub(super) whole_replies: bool,
 }
 
 /// One call to make.
@@ -286,6 +293,49 @@
     /// 0 in reports of failed calls and of calls that end after the merge time.
     #[prost(uint64, tag = "4")]
     pub(super) due_us: u64,
+    /// The replies to calls in `ends`, if the batch asked for whole ones.
+    #[prost(message, repeated, tag = "5")]
+    pub(super) replies: Vec<Reply>,
+}
+
+/// An upstream's whole reply.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub(super) struct Reply {
+    /// The requester's id of the call.
+    #[prost(uint64, tag = "1")]
+    pub(super) call: u64,
+    /// The HTTP status.
+    #[prost(uint32, tag = "2")]
+    pub(super) status: u32,
+    /// The headers that are passed on, each with its line ending.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub(super) headers: bytes::Bytes,
+    /// The body.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub(super) body: bytes::Bytes,
+}
+
+impl Reply {
+    /// Encodes the reply to `call`; `None` if it is too large for a frame.
+    pub(super) fn new(call: u64, reply: h1::Reply) -> Option<Self> {
+        (reply.body.len() <= MAX_BODY_LEN).then(|| Self {
+            call,
+            status: reply.status.into(),
+            headers: reply.headers.into(),
+            body: reply.body,
+        })
+    }
+
+    /// Decodes the reply; `None` if its status is invalid.
+    pub(super) fn read(&self) -> Option<h1::Reply> {
+        let status = u16::try_from(self.status).ok()?;
+        Some(h1::Reply::whole(
+            status,
+            self.headers.to_vec(),
+            self.body.clone(),
+        ))
+    }
 }
 
 /// How one call ended.
--- a/crates/geraniumgauge/src/edge/pool.rs
+++ b/crates/geraniumgauge/src/edge/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 
+use crate::forward;
 use crate::ids;
 use crate::time as clock;
 
@@ -17,6 +18,27 @@
 #[derive(derive_more::Display)]
 pub(super) struct Link(pub(super) u64);
 
+/// A call that waits for a connection.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    /// Identifies the call.
+    pub(super) call: ids::Attempt,
+    permit: forward::Permit,
+}
+
+impl Waiting {
+    /// Creates an entry for a call that `permit` allows.
+    pub(super) fn new(call: ids::Attempt, permit: forward::Permit) -> Self {
+        Self { call, permit }
+    }
+
+    /// Uses up the permit to send the call.
+    pub(super) fn send(self) -> ids::Attempt {
+        self.permit.use_up();
+        self.call
+    }
+}
+
 /// The connections to one upstream.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
@@ -28,7 +50,7 @@
     /// Number of connections that are being opened.
     pub(super) opening: u32,
     /// Calls that wait for a connection, in order.
-    pub(super) waiting: collections::VecDeque<ids::Attempt>,
+    pub(super) waiting: collections::VecDeque<Waiting>,
 }
 
 impl Pool {
--- a/crates/geraniumgauge/src/edge/state/abandoned.rs
+++ b/crates/geraniumgauge/src/edge/state/abandoned.rs
@@ -48,7 +48,9 @@
         }
         if call.link.is_none() {
             let upstream = call.upstream;
-            self.pool(upstream).waiting.retain(|waiting| *waiting != id);
+            self.pool(upstream)
+                .waiting
+                .retain(|waiting| waiting.call != id);
             self.end(id, forward::Verdict::NotSent, now);
             return;
         }
--- a/crates/geraniumgauge/src/edge/state/identity.rs
+++ b/crates/geraniumgauge/src/edge/state/identity.rs
@@ -128,8 +128,8 @@
         self.report_crash_suspects(upstream, now);
         self.close(link);
         let waiting = std::mem::take(&mut self.pool(upstream).waiting);
-        for call in waiting {
-            self.end(call, forward::Verdict::Misdirected, now);
+        for waiting in waiting {
+            self.end(waiting.call, forward::Verdict::Misdirected, now);
         }
         self.deliver_ended(now);
     }
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -55,12 +55,13 @@
     /// Assigns waiting calls to idle connections, and opens connections for the rest
     /// within the limit.
     pub(super) fn dispatch(&mut self, upstream: registry::Handle, now: clock::Moment) {
-        while let Some(call) = self.pool(upstream).waiting.front().copied() {
+        while !self.pool(upstream).waiting.is_empty() {
             let Some(link) = self.idle_link(upstream, now) else {
                 break;
             };
-            self.pool(upstream).waiting.pop_front();
-            self.write(call, link, now);
+            if let Some(waiting) = self.pool(upstream).waiting.pop_front() {
+                self.write(waiting, link, now);
+            }
         }
         let allowed = self.allowed(upstream);
         while self.pool(upstream).needs_link(allowed) {
@@ -206,13 +207,25 @@
     /// Ends the calls that wait for a connection to an upstream as not sent.
     pub(super) fn end_waiting(&mut self, upstream: registry::Handle, now: clock::Moment) {
         let waiting = std::mem::take(&mut self.pool(upstream).waiting);
-        for call in waiting {
-            self.end(call, forward::Verdict::NotSent, now);
+        for waiting in waiting {
+            self.end(waiting.call, forward::Verdict::NotSent, now);
         }
     }
 
-    /// Writes a call to a connection.
-    fn write(&mut self, id: ids::Attempt, link: pool::Link, now: clock::Moment) {
+    /// Lets a call wait for a connection to its upstream.
+    pub(super) fn wait_for_link(
+        &mut self,
+        upstream: registry::Handle,
+        waiting: pool::Waiting,
+        now: clock::Moment,
+    ) {
+        self.pool(upstream).waiting.push_back(waiting);
+        self.dispatch(upstream, now);
+    }
+
+    /// Writes a call to a connection, which uses up its permit.
+    fn write(&mut self, waiting: pool::Waiting, link: pool::Link, now: clock::Moment) {
+        let id = waiting.send();
         let (Some(call), Some(connection)) = (self.calls.get_mut(&id), self.links.get_mut(&link))
         else {
             return;
--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -7,6 +7,7 @@
 mod handover;
 mod identity;
 mod links;
+mod peers;
 mod relay;
 mod report;
 mod serve;
@@ -80,7 +81,7 @@
     /// Number of connections that are kept for given-up calls.
     lingering: usize,
     pools: Vec<pool::Pool>,
-    peers: relay::Peers,
+    peers: peers::Peers,
     /// Sends crash suspects to the task that reports them to the other VMs.
     crash_suspects: sync::mpsc::UnboundedSender<ids::Fingerprint>,
     /// Abandoned calls in progress and when to stop each, soonest first.
@@ -114,7 +115,7 @@
             links: collections::HashMap::new(),
             lingering: 0,
             pools: Vec::new(),
-            peers: relay::Peers::default(),
+            peers: peers::Peers::default(),
             abandoned: collections::VecDeque::new(),
             ended: collections::VecDeque::new(),
             last_id: 0,
@@ -251,20 +252,24 @@
         }
     }
 
-    /// Starts a call for a job on one of this VM's own connections.
+    /// Starts a call for a job on one of this VM's own connections. Ends it if this VM has no
+    /// permit for it.
     fn start_call(&mut self, job: u64, send: forward::Send, now: clock::Moment) {
         let Some(running) = self.running.get(&job) else {
             return;
         };
-        self.instruments.call(send.reason);
         let message = running.message.clone();
         let owner = call::Owner::of(job, &send);
         let typical_call_time = running.job.latency().median();
         self.log_extra_call(&message, &send, now);
         let call = call::Call::new(owner, send.upstream, message, typical_call_time, now);
         self.calls.insert(send.call, call);
-        self.pool(send.upstream).waiting.push_back(send.call);
-        self.dispatch(send.upstream, now);
+        let Some(permit) = send.payment.into_permit() else {
+            return self.end(send.call, forward::Verdict::NoBudget, now);
+        };
+        self.instruments.call(send.reason);
+        let call = send.call;
+        self.wait_for_link(send.upstream, pool::Waiting::new(call, permit), now);
     }
 
     /// Logs and counts an extra call that a budget of this VM is charged for.
@@ -274,7 +279,7 @@
         send: &forward::Send,
         now: clock::Moment,
     ) {
-        if !send.is_extra || send.charged_vm != forward::ChargedVm::Own {
+        if !send.payment.is_charged_here() {
             return;
         }
         let usage = self.fleet.extra_usage(send.call, now);
--- a/crates/geraniumgauge/src/edge/state/report.rs
+++ b/crates/geraniumgauge/src/edge/state/report.rs
@@ -5,6 +5,7 @@
 
 use crate::edge::call;
 use crate::edge::frame;
+use crate::edge::pool;
 use crate::edge::state;
 use crate::forward;
 use crate::h1;
@@ -46,7 +47,18 @@
                 // Whatever becomes of the reply, the upstream has read the call.
                 self.upstream_read(id, now);
             }
+            let whole = report.replies.iter().find(|reply| reply.call == end.id);
+            let whole = whole.and_then(frame::Reply::read);
             let verdict = match end.how() {
+                frame::How::Good if !self.is_sharded(id) => match whole {
+                    Some(reply) => forward::Verdict::Good(reply),
+                    // The relay's version can't report a whole reply.
+                    None => forward::Verdict::Lost,
+                },
+                frame::How::Failure if whole.is_some() => match whole {
+                    Some(reply) => forward::Verdict::Failure(reply),
+                    None => forward::Verdict::Lost,
+                },
                 frame::How::Good if all_known => {
                     let body = records.take().unwrap_or_default();
                     let reply = h1::Reply::merged(end.signature, body);
@@ -75,6 +87,12 @@
         self.calls_still_pending(&pending, now);
     }
 
+    /// Returns whether a call is one of a search.
+    fn is_sharded(&self, id: ids::Attempt) -> bool {
+        let call = self.calls.get(&id);
+        call.is_some_and(|call| call.message.sharded)
+    }
+
     /// Handles a relay's report that an upstream replied to a call.
     fn upstream_read(&mut self, id: ids::Attempt, now: clock::Moment) {
         if let Some(call) = self.calls.get(&id) {
@@ -121,8 +139,8 @@
 
     /// Records that the relay of a call hasn't reported on it in time.
     pub(super) fn relay_silent(&mut self, call: ids::Attempt) {
-        if let Some(address) = self.calls.get(&call).and_then(|call| call.via) {
-            self.relays.mark_silent(address);
+        if let Some(via) = self.calls.get(&call).and_then(|call| call.via.as_ref()) {
+            self.relays.mark_silent(via.relay);
         }
     }
 
@@ -137,19 +155,17 @@
             self.end(id, forward::Verdict::NotSent, now);
             return;
         }
-        if call.charged_vm == forward::ChargedVm::Relay {
+        let Some(permit) = call.via.take().and_then(|via| via.permit) else {
             self.end(id, forward::Verdict::NoBudget, now);
             return;
-        }
-        call.via = None;
+        };
         let upstream = call.upstream;
         let entry = &self.fleet.registry.get(upstream).entry;
         log::info!(
             request = call.message.id.as_str(), upstream = entry.id.as_str();
             "call made directly: the relay doesn't know the upstream"
         );
-        self.pool(upstream).waiting.push_back(id);
-        self.dispatch(upstream, now);
+        self.wait_for_link(upstream, pool::Waiting::new(id, permit), now);
     }
 
     /// Replaces the reply that an abandoned call's part already has by a merged one,
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -6,9 +6,11 @@
 
 use crate::edge::call;
 use crate::edge::frame;
+use crate::edge::pool;
 use crate::edge::sender;
 use crate::edge::state;
 use crate::forward;
+use crate::h1;
 use crate::ids;
 use crate::registry;
 use crate::time as clock;
@@ -30,6 +32,8 @@
     merge_after: time::Duration,
     /// Whether each reply is reported at once, as it is after the merge time.
     immediate: bool,
+    /// Whether replies are reported whole, as those to a request to one upstream are.
+    whole_replies: bool,
 }
 
 /// The requester's terms for the calls of a batch.
@@ -102,11 +106,11 @@
     ) {
         let message = rc::Rc::new(call::Message {
             id: batch.request_id,
+            head_only: batch.whole_replies && batch.head.starts_with(b"HEAD "),
             head: batch.head,
             body: batch.body,
             has_body: batch.has_body,
-            head_only: false,
-            sharded: true,
+            sharded: !batch.whole_replies,
             deadline: now + time::Duration::from_micros(batch.timeout_us),
         });
         let id = self.new_id();
@@ -120,6 +124,7 @@
                 received_at: now,
                 merge_after: time::Duration::from_micros(batch.merge_after_us),
                 immediate: batch.merge_after_us == 0,
+                whole_replies: batch.whole_replies,
             },
         );
         let terms = Terms {
@@ -138,6 +143,9 @@
         if !not_made.is_empty() {
             self.report_ends(id, not_made, now);
         }
+        if batch.whole_replies {
+            self.report_pending(id);
+        }
         if batch.merge_after_us > 0 && self.peers.batches.contains_key(&id) {
             let at = now + time::Duration::from_micros(batch.merge_after_us);
             self.effects.push(state::Effect::Merge { batch: id, at });
@@ -183,13 +191,14 @@
         if terms.first {
             self.fleet.count_relayed_request(upstream, now);
         }
-        if terms.charge_relay {
+        let permit = if terms.charge_relay {
             let earlier = self.handles(&requested.earlier);
-            if !self.fleet.take_extra_for_other(upstream, id, &earlier, now) {
-                return Err(frame::End::new(requested.id, frame::How::NoBudget));
-            }
+            let charged = self.fleet.take_extra_for_other(upstream, id, &earlier, now);
             self.log_charge(message, upstream, id, now);
-        }
+            charged.ok_or_else(|| frame::End::new(requested.id, frame::How::NoBudget))?
+        } else {
+            forward::Permit::of_requester()
+        };
         if let Some(batch) = self.peers.batches.get_mut(&batch) {
             batch.pending.insert(requested.id, id);
         }
@@ -207,12 +216,11 @@
             now,
         );
         self.calls.insert(id, call);
-        self.pool(upstream).waiting.push_back(id);
-        self.dispatch(upstream, now);
+        self.wait_for_link(upstream, pool::Waiting::new(id, permit), now);
         Ok(())
     }
 
-    /// Logs and counts an extra call of a requester that is charged to this VM.
+    /// Logs and counts an extra call of a requester, if it is charged to this VM.
     fn log_charge(
         &mut self,
         message: &call::Message,
@@ -220,17 +228,20 @@
         call: ids::Attempt,
         now: clock::Moment,
     ) {
-        let usage = self.fleet.extra_usage(call, now);
+        let Some(usage) = self.fleet.extra_usage(call, now) else {
+            return;
+        };
         let entry = &self.fleet.registry.get(upstream).entry;
         log::info!(
-            budget:% = state::OrDash(usage),
+            budget:% = usage,
             request = message.id.as_str(), service = entry.service.as_str(),
             upstream = entry.id.as_str(),
             vm_age_ms = now.since(clock::Moment::default()).as_millis() as u64,
             vms = self.fleet.vms(), vms_known = self.relays.known_vms();
             "extra call charged for another VM"
         );
-        self.instruments.extra_call_sent(&entry.service, usage);
+        self.instruments
+            .extra_call_sent(&entry.service, Some(usage));
     }
 
     /// Returns the upstreams with these ids that this VM knows.
@@ -296,8 +307,10 @@
             return;
         };
         batch.pending.remove(&remote);
+        let whole_replies = batch.whole_replies;
         let (how, reply) = match verdict {
             forward::Verdict::Good(reply) => (frame::How::Good, Some(reply)),
+            forward::Verdict::Failure(reply) if whole_replies => (frame::How::Failure, Some(reply)),
             forward::Verdict::Failure(_) => (frame::How::Failure, None),
             forward::Verdict::NotRun => (frame::How::NotRun, None),
             forward::Verdict::Misdirected => (frame::How::Misdirected, None),
@@ -309,6 +322,7 @@
         let mut end = frame::End::new(remote, how);
         end.took_us = clock::micros(took);
         match reply {
+            Some(reply) if whole_replies => self.report_whole(id, end, reply),
             Some(reply) => {
                 end.signature = reply.signature.unwrap_or_default();
                 batch.replies.push((end, reply.body));
@@ -320,6 +334,33 @@
         }
     }
 
+    /// Reports the end of a call with the upstream's whole reply.
+    fn report_whole(&mut self, id: u64, mut end: frame::End, reply: h1::Reply) {
+        let Some(batch) = self.peers.batches.get(&id) else {
+            return;
+        };
+        let (peer, last) = (batch.peer, batch.pending.is_empty());
+        let mut report = frame::Report::default();
+        match frame::Reply::new(end.id, reply) {
+            Some(reply) => report.replies.push(reply),
+            None => end.how = frame::How::Lost.into(),
+        }
+        report.ends.push(end);
+        self.send_report(peer, report);
+        if last {
+            self.peers.batches.remove(&id);
+        }
+    }
+
+    /// Reports that the calls of a batch are in progress.
+    fn report_pending(&mut self, id: u64) {
+        let Some(batch) = self.peers.batches.get(&id) else {
+            return;
+        };
+        let pending = batch.pending.keys().copied().collect();
+        self.report_merged(id, pending, time::Duration::ZERO);
+    }
+
     /// Reports calls that ended without a good reply. They are reported at once, so
     /// that the requester can call other upstreams.
     fn report_ends(&mut self, id: u64, ends: Vec<frame::End>, now: clock::Moment) {
@@ -387,6 +428,7 @@
             records: records.into(),
             pending,
             due_us: clock::micros(due_after),
+            replies: Vec::new(),
         };
         self.send_report(peer, report);
     }
--- a/crates/geraniumgauge/src/edge/tests/given_up.rs
+++ b/crates/geraniumgauge/src/edge/tests/given_up.rs
@@ -7,6 +7,7 @@
 use crate::edge::frame;
 use crate::edge::sender;
 use crate::edge::state;
+use crate::h1;
 
 /// The requester's id of its call.
 const CALL: u64 = 7;
@@ -32,6 +33,10 @@
 
     /// The requester asks for a call to `u0`.
     fn request(&mut self) {
+        self.request_with(false);
+    }
+
+    fn request_with(&mut self, whole_replies: bool) {
         let call = frame::Call {
             id: CALL,
             upstream: "u0".to_owned(),
@@ -46,6 +51,7 @@
             first: true,
             typical_us: 10_000,
             mandatory: true,
+            whole_replies,
             ..frame::Batch::default()
         };
         self.state.batch_received(self.peer, batch, world::NOW);
@@ -62,14 +68,18 @@
 
     /// Returns how the relay has reported the call to have ended; `None` if it hasn't.
     fn reported(&mut self) -> Option<frame::How> {
+        let report = self.report()?;
+        assert_eq!(report.ends[0].id, CALL);
+        Some(report.ends[0].how())
+    }
+
+    /// Returns what the relay has reported; `None` if nothing.
+    fn report(&mut self) -> Option<frame::Report> {
         let mut bytes = [0; 1024];
         let count = self.requester.try_read(&mut bytes).ok()?;
         let frame = frame::Frame::decode(&bytes[4..count]).expect("a frame");
         match frame.kind {
-            Some(frame::Kind::Report(report)) => {
-                assert_eq!(report.ends[0].id, CALL);
-                Some(report.ends[0].how())
-            }
+            Some(frame::Kind::Report(report)) => Some(report),
             other => panic!("{other:?}"),
         }
     }
@@ -102,6 +112,34 @@
     });
 }
 
+/// Guards against callers of single requests who get no failure of the upstream's own, as a
+/// relay made the call.
+#[test]
+fn a_relay_reports_whole_replies_to_single_requests() {
+    world::run(async {
+        let mut relay = Relay::new().await;
+        relay.request_with(true);
+        relay.requester.readable().await.expect("a report");
+        let pending = relay.report().expect("a report").pending;
+        assert_eq!(pending, [CALL], "the relay says that it makes the call");
+        let link = match relay.state.effects.pop() {
+            Some(state::Effect::Open { link, .. }) => link,
+            other => panic!("{other:?}"),
+        };
+        let (writer, _upstream) = world::connection().await;
+        relay.state.connected(link, writer, world::NOW);
+        let headers = b"x-signature: a\r\n".to_vec();
+        let reply = h1::Reply::whole(500, headers.clone(), "failed".into());
+        relay.state.replied(link, reply, false, world::NOW);
+        relay.requester.readable().await.expect("a report");
+        let report = relay.report().expect("a report");
+        assert_eq!(report.ends[0].how(), frame::How::Failure);
+        let reply = report.replies[0].read().expect("a reply");
+        assert_eq!((reply.status, reply.headers), (500, headers));
+        assert_eq!(reply.body, "failed");
+    });
+}
+
 /// Guards against charges that never end: the relay was paused and didn't make the call, as
 /// the requester had given it up meanwhile.
 #[test]
--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -86,6 +86,22 @@
 }
 
 pub(super) fn search() -> (rc::Rc<route::table::Entry>, h1::Request) {
+    request(route::Target::Shards(route::Shards {
+        services: vec!["s".parse().expect("a name")],
+        top_k: 3,
+        min_coverage: rate::Share::percent(100),
+    }))
+}
+
+/// Returns a request to one upstream of service `s`.
+fn single() -> (rc::Rc<route::table::Entry>, h1::Request) {
+    request(route::Target::One(vec![route::Weighted {
+        service: "s".parse().expect("a name"),
+        weight: 1.0,
+    }]))
+}
+
+fn request(target: route::Target) -> (rc::Rc<route::table::Entry>, h1::Request) {
     let route = route::Route {
         name: "r".to_owned(),
         host: "one.example".to_owned(),
@@ -95,11 +111,7 @@
         timeout: time::Duration::from_millis(600),
         latency_target: time::Duration::from_millis(100),
         priority: 0,
-        target: route::Target::Shards(route::Shards {
-            services: vec!["s".parse().expect("a name")],
-            top_k: 3,
-            min_coverage: rate::Share::percent(100),
-        }),
+        target,
     };
     let split = cell::RefCell::new(route::Split::of(&route.target));
     let request = h1::Request {
@@ -165,3 +177,97 @@
         assert!(state.take(id, NOW).is_some(), "the search has ended");
     });
 }
+
+/// Starts a request to one upstream, whose first call fails without a reply. Returns its id.
+async fn lose_first_call(state: &mut state::State) -> u64 {
+    let (entry, request) = single();
+    let id = state.submit(entry, request, rc::Rc::default(), NOW);
+    let first = match state.effects.pop() {
+        Some(state::Effect::Open { link, .. }) => link,
+        other => panic!("{other:?}"),
+    };
+    let (writer, _upstream) = connection().await;
+    state.connected(first, writer, NOW);
+    state.ended(first, "closed", NOW);
+    id
+}
+
+/// Returns the upstreams that connections are being opened to.
+fn opened(state: &state::State) -> Vec<net::SocketAddr> {
+    let opened = state.effects.iter().filter_map(|effect| match effect {
+        state::Effect::Open { address, .. } => Some(*address),
+        _ => None,
+    });
+    opened.collect()
+}
+
+/// Guards against extra calls of requests to one upstream that no budget is charged for: a
+/// relay is to pay, and the requester makes the call itself.
+#[test]
+fn an_extra_call_of_a_single_request_without_a_relay_to_pay_isnt_made() {
+    run(async {
+        let mut state = small_vm(address(9), 2);
+        let id = lose_first_call(&mut state).await;
+        // The connection shows whether the first upstream has crashed.
+        assert_eq!(opened(&state), [address(0)]);
+        assert!(state.take(id, NOW).is_some(), "the request has ended");
+    });
+}
+
+/// Guards against callers who get no answer, or another one than the upstream's, as a relay
+/// pays for the call.
+#[test]
+fn a_relay_that_pays_for_a_single_requests_call_passes_its_reply_on_unchanged() {
+    run(async {
+        let relay = address(9);
+        let mut state = small_vm(relay, 2);
+        let (writer, _relay) = connection().await;
+        state.peer_connected(relay, sender::Sender::new(writer), NOW);
+        let id = lose_first_call(&mut state).await;
+        assert_eq!(opened(&state), [address(0)]);
+        let extra = ids::Attempt(2);
+        let reply = frame::Reply {
+            call: extra.0,
+            status: 404,
+            headers: "x-signature: a\r\n".into(),
+            body: "not there".into(),
+        };
+        let report = frame::Report {
+            ends: vec![frame::End::new(extra.0, frame::How::Good)],
+            replies: vec![reply],
+            ..frame::Report::default()
+        };
+        state.report_received(relay, report, NOW);
+        match state.take(id, NOW) {
+            Some((forward::Outcome::Reply(reply), _)) => {
+                assert_eq!(reply.status, 404);
+                assert_eq!(reply.headers, b"x-signature: a\r\n");
+                assert_eq!(reply.body, "not there");
+            }
+            other => panic!("{other:?}"),
+        }
+    });
+}
+
+/// Guards against answers made up of merged records: a relay of an earlier version makes the
+/// call as one of a search.
+#[test]
+fn a_merged_reply_to_a_single_request_isnt_passed_on() {
+    run(async {
+        let relay = address(9);
+        let mut state = small_vm(relay, 2);
+        let (writer, _relay) = connection().await;
+        state.peer_connected(relay, sender::Sender::new(writer), NOW);
+        let id = lose_first_call(&mut state).await;
+        let report = frame::Report {
+            ends: vec![frame::End::new(2, frame::How::Good)],
+            records: "records of the body".into(),
+            ..frame::Report::default()
+        };
+        state.report_received(relay, report, NOW);
+        match state.take(id, NOW) {
+            Some((forward::Outcome::Unknown { .. }, _)) => {}
+            other => panic!("{other:?}"),
+        }
+    });
+}
--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -67,18 +67,6 @@
     AskRelay,
 }
 
-/// The VM whose budget an extra call is charged to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(derive_more::Display)]
-pub enum ChargedVm {
-    /// This VM.
-    #[display("own")]
-    Own,
-    /// The relay that makes the call, if its budget allows it.
-    #[display("helper")]
-    Relay,
-}
-
 /// Budgets for extra calls to each service.
 #[derive(Debug)]
 pub struct Allowance {
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -29,15 +29,15 @@
         self.allowance.count_request(service, &self.policy, now);
     }
 
-    /// Charges the extra call `call` to `service` and returns the VM whose budget
-    /// is charged. Returns `None` if no budget allows the call.
+    /// Charges the extra call `call` to `service`, or leaves that to a relay. Returns `None`
+    /// if no budget allows the call.
     pub fn take_extra(
         &mut self,
         service: &ids::Service,
         call: ids::Attempt,
         siblings: &forward::Siblings,
         now: clock::Moment,
-    ) -> Option<forward::ChargedVm> {
+    ) -> Option<forward::Payment> {
         let expired = self.transit.expire(now);
         self.settle(expired, now);
         let limited = self.may_have_waiting_calls(service, now);
@@ -48,11 +48,11 @@
             Some(forward::Grant::Charged(charge)) => {
                 self.count_extra(service, account::Event::Own, now);
                 self.transit.add(call, charge, siblings);
-                Some(forward::ChargedVm::Own)
+                Some(forward::Payment::Permit(forward::Permit::charged()))
             }
             Some(forward::Grant::AskRelay) => {
                 self.count_extra(service, account::Event::ByRelay, now);
-                Some(forward::ChargedVm::Relay)
+                Some(forward::Payment::Relay)
             }
             None => {
                 self.count_extra(service, account::Event::Refused, now);
@@ -252,7 +252,7 @@
     }
 
     /// Charges the extra call `call`, which this VM makes for another one, to its
-    /// shared budget. Returns whether the budget allows the call. `earlier` are the
+    /// shared budget. Returns `None` if the budget doesn't allow the call. `earlier` are the
     /// upstreams at which the part's other calls may still be waiting.
     pub fn take_extra_for_other(
         &mut self,
@@ -260,7 +260,7 @@
         call: ids::Attempt,
         earlier: &[registry::Handle],
         now: clock::Moment,
-    ) -> bool {
+    ) -> Option<forward::Permit> {
         let expired = self.transit.expire(now);
         self.settle(expired, now);
         let service = &self.registry.get(upstream).entry.service;
@@ -271,10 +271,10 @@
             .take_extra_for_other(&service, limited, &self.policy, now);
         let Some(charge) = charge else {
             self.count_extra(&service, account::Event::Refused, now);
-            return false;
+            return None;
         };
         self.count_extra(&service, account::Event::ForOther, now);
         self.transit.add_for_other(call, charge, earlier, now);
-        true
+        Some(forward::Permit::charged())
     }
 }
--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -53,14 +53,8 @@
             return self.fail_unless_called(index, forward::Reason::NoUpstream);
         };
         let part = &mut self.parts[index];
-        let is_extra = part.arrivals > 0;
         let id = fleet.next_call();
-        let charged_vm = if is_extra {
-            fleet.take_extra(&part.service, id, &part.siblings(), now)
-        } else {
-            Some(forward::ChargedVm::Own)
-        };
-        let Some(charged_vm) = charged_vm else {
+        let Some(payment) = part.payment(id, fleet, now) else {
             part.refused_by_budget = true;
             return self.fail_unless_called(index, forward::Reason::NoCapacity);
         };
@@ -85,8 +79,7 @@
             part: index,
             upstream,
             reason,
-            is_extra,
-            charged_vm,
+            payment,
             mandatory: part.advised,
         }));
     }
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -16,6 +16,7 @@
 mod latency;
 mod merge;
 mod part;
+mod permit;
 mod relay;
 mod shares;
 mod suspects;
@@ -23,7 +24,6 @@
 
 pub use allowance::Allowance;
 pub use allowance::Charge;
-pub use allowance::ChargedVm;
 pub use allowance::Grant;
 pub use allowance::ServiceSpending;
 pub use allowance::Spending;
@@ -41,6 +41,8 @@
 pub use merge::RECORD_BYTES;
 pub use merge::top_records;
 pub use part::MissingReason;
+pub use permit::Payment;
+pub use permit::Permit;
 pub use relay::Relay;
 pub use relay::Relays;
 pub use shares::Shares;
@@ -151,7 +153,7 @@
 }
 
 /// A call to make.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub struct Send {
     /// Identifies the call.
     pub call: ids::Attempt,
@@ -161,10 +163,8 @@
     pub upstream: registry::Handle,
     /// The reason for making the call.
     pub reason: CallReason,
-    /// Whether another call of the part may have reached an upstream.
-    pub is_extra: bool,
-    /// The VM whose budget is charged if this is an extra call.
-    pub charged_vm: ChargedVm,
+    /// Who allows the call.
+    pub payment: Payment,
     /// Set when a relay must make the call even if it would advise against it.
     pub mandatory: bool,
 }
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -126,6 +126,19 @@
         }
     }
 
+    /// Returns who allows the next call, which has the id `call`; `None` if no budget does.
+    pub(super) fn payment(
+        &self,
+        call: ids::Attempt,
+        fleet: &mut forward::Fleet,
+        now: clock::Moment,
+    ) -> Option<forward::Payment> {
+        if self.arrivals == 0 {
+            return Some(forward::Payment::Permit(forward::Permit::first()));
+        }
+        fleet.take_extra(&self.service, call, &self.siblings(), now)
+    }
+
     /// Returns the reason why the part has no reply, or `None` if it has one.
     pub(super) fn missing_reason(&self) -> Option<MissingReason> {
         match self.state {
--- a/crates/geraniumgauge/src/forward/relay.rs
+++ b/crates/geraniumgauge/src/forward/relay.rs
@@ -148,9 +148,29 @@
         if *data_centre == self.own_data_centre && !self.exceeds_own_capacity(all) {
             return None;
         }
+        self.pick(|peer| peer.relay.data_centre == *data_centre, now)
+    }
+
+    /// Returns the relay that is asked to pay for an extra call to an upstream of
+    /// `data_centre`: one of that data centre, or else any. Returns `None` if none can be asked.
+    pub fn choose_payer(
+        &mut self,
+        data_centre: &ids::DataCentre,
+        now: clock::Moment,
+    ) -> Option<net::SocketAddr> {
+        self.pick(|peer| peer.relay.data_centre == *data_centre, now)
+            .or_else(|| self.pick(|_| true, now))
+    }
+
+    /// Returns one relay after another of those that respond and that `fits` is true for.
+    fn pick(
+        &mut self,
+        fits: impl Fn(&Peer) -> bool,
+        now: clock::Moment,
+    ) -> Option<net::SocketAddr> {
         self.next = self.next.wrapping_add(1);
-        let mut candidates: Vec<&Peer> = self
-            .in_data_centre(data_centre)
+        let peers = self.peers.iter().filter(|peer| fits(peer));
+        let mut candidates: Vec<&Peer> = peers
             .filter(|peer| peer.eligible && peer.is_responsive(now))
             .collect();
         // A silent relay may just have sent a frame late, which is still better
--- a/crates/geraniumgauge/src/forward/tests/advice.rs
+++ b/crates/geraniumgauge/src/forward/tests/advice.rs
@@ -33,9 +33,9 @@
     let mut world = without_extras(2, 2);
     let mut job = world.start(world::shards(2, 50));
     world.end(&mut job, 0, forward::Verdict::Advised(SLOW));
-    let (first, moved) = (world.sends[0], world.sends[2]);
+    let (first, moved) = (world.sends[0].upstream, &world.sends[2]);
     assert_eq!((moved.part, moved.reason), (0, forward::CallReason::First));
-    assert_ne!(moved.upstream, first.upstream);
+    assert_ne!(moved.upstream, first);
     assert!(moved.mandatory, "a part is moved only once");
     world.end(&mut job, 1, world::good(b'a'));
     world.end(&mut job, 2, world::good(b'b'));
@@ -47,7 +47,7 @@
     world.outcome = None;
     let before = world.sends.len();
     world.start(world::shards(2, 50));
-    assert_ne!(world.sends[before].upstream, first.upstream);
+    assert_ne!(world.sends[before].upstream, first);
 }
 
 /// A part is hedged, and the relay knows that the second upstream is slow as
@@ -61,7 +61,7 @@
     world.advance_to(&mut job, 40);
     assert_eq!(world.sends[1].reason, forward::CallReason::Hedge);
     world.end(&mut job, 1, forward::Verdict::Advised(SLOW));
-    let moved = world.sends[2];
+    let moved = &world.sends[2];
     assert_eq!(moved.reason, forward::CallReason::Hedge);
     assert!(moved.mandatory);
     assert_ne!(moved.upstream, world.sends[0].upstream);
--- a/crates/geraniumgauge/src/forward/tests/hedge.rs
+++ b/crates/geraniumgauge/src/forward/tests/hedge.rs
@@ -16,12 +16,12 @@
     let mut world = world::World::new(SHARDS, 2);
     let mut job = world.start(world::shards(SHARDS, 50));
     let overdue = time::Duration::from_millis(overdue_ms);
-    job.delegated(&world.sends.clone(), overdue);
+    job.delegated(&world.sends, overdue);
     (world, job)
 }
 
-fn extras(world: &world::World) -> Vec<forward::Send> {
-    world.sends[SHARDS..].to_vec()
+fn extras(world: &world::World) -> &[forward::Send] {
+    &world.sends[SHARDS..]
 }
 
 /// A VM with an eighth of a core delegates thirty calls, and the frame with the replies is
--- a/crates/geraniumgauge/src/forward/tests/job.rs
+++ b/crates/geraniumgauge/src/forward/tests/job.rs
@@ -37,12 +37,13 @@
     world.end(&mut job, 0, world::good(b'a'));
     world.advance_to(&mut job, 40);
     assert_eq!(world.sends.len(), 3);
-    let (first, hedge) = (world.sends[1], world.sends[2]);
+    let (first, hedge) = (&world.sends[1], &world.sends[2]);
     assert_eq!((hedge.reason, hedge.part), (forward::CallReason::Hedge, 1));
     assert_ne!(first.upstream, hedge.upstream);
+    let first = first.call;
     world.end(&mut job, 2, world::good(b'b'));
     assert_eq!(merged(&world), Some((2, 0)));
-    assert_eq!(world.abandoned, vec![first.call]);
+    assert_eq!(world.abandoned, vec![first]);
 }
 
 /// A shard misses the latency target. An incomplete answer is sent if it covers
--- a/crates/geraniumgauge/src/forward/tests/misdirected.rs
+++ b/crates/geraniumgauge/src/forward/tests/misdirected.rs
@@ -89,5 +89,5 @@
     search.refuse();
     let replaced = search.world.sends.last().expect("another call");
     assert_eq!(search.world.sends.len(), 3);
-    assert!(!replaced.is_extra);
+    assert!(!replaced.payment.is_charged_here());
 }
--- a/crates/geraniumgauge/src/forward/tests/world.rs
+++ b/crates/geraniumgauge/src/forward/tests/world.rs
@@ -111,20 +111,20 @@
 
     /// Ends call number `send`.
     pub(super) fn end(&mut self, job: &mut forward::Job, send: usize, verdict: forward::Verdict) {
-        let send = self.sends[send];
+        let forward::Send {
+            call,
+            part,
+            upstream,
+            ..
+        } = self.sends[send];
         let end = forward::End {
-            call: send.call,
-            part: send.part,
+            call,
+            part,
             verdict,
             took: self.now.since(job.began()),
         };
-        self.fleet.call_ended(
-            send.call,
-            send.upstream,
-            job.began(),
-            &end.verdict,
-            self.now,
-        );
+        self.fleet
+            .call_ended(call, upstream, job.began(), &end.verdict, self.now);
         let mut actions = Vec::new();
         job.ended(end, &mut self.fleet, self.now, &mut actions);
         self.take(actions);
--- a/crates/geraniumgauge/src/h1/reply.rs
+++ b/crates/geraniumgauge/src/h1/reply.rs
@@ -34,15 +34,23 @@
 }
 
 impl Reply {
-    /// Creates a good reply as reported by a relay, with a signature and a body.
+    /// Creates a good reply as merged by a relay, with a signature and a body.
     pub fn merged(signature: String, body: bytes::Bytes) -> Self {
         Self {
-            status: 200,
+            signature: Some(signature),
+            ..Self::whole(200, Vec::new(), body)
+        }
+    }
+
+    /// Creates a reply as passed on by a relay: what a caller gets of it.
+    pub fn whole(status: u16, headers: Vec<u8>, body: bytes::Bytes) -> Self {
+        Self {
+            status,
             id: None,
             upstream_id: None,
-            signature: Some(signature),
+            signature: None,
             not_run: false,
-            headers: Vec::new(),
+            headers,
             body,
             has_content_encoding: false,
             close: false,
