A call that was refused for another start of its upstream has arrived

Cause: after a 421 a call counted as one that its service never got. Its charge was given back, or, if it was the first call, the next one counted as the first. Within reuse_after_s of an upstream's last answer a new connection isn't checked, as no other service can have the address; but the upstream's own next start can.

Now only a call that wasn't sent, or that an upstream of another service is known to have got, counts as not arrived, in one place for all verdicts (Verdict::may_have_arrived). What the check of a connection finds has a verdict of its own, as no call was sent there. A call that is misdirected within its own service isn't counted there a second time.

The test the_call_that_replaces_a_misdirected_one_isnt_extra is about a service that got no call; it now says so with the verdict of that case. The two new tests failed before: three calls in place of two, and a charge given back.

--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -417,6 +417,20 @@
     NoBudget = 7,
     /// Not sent: the relay advises against the upstream, see [`End::advice`].
     Advised = 8,
+    /// An upstream of another service has the address, or another one answered the check.
+    AddressLost = 9,
+}
+
+impl How {
+    /// Returns whether the call has arrived at its service or may still do so.
+    pub(super) fn may_have_arrived(self) -> bool {
+        match self {
+            Self::Good | Self::Failure | Self::NotRun | Self::Misdirected | Self::Lost => true,
+            Self::AddressLost | Self::NotSent | Self::Unknown | Self::NoBudget | Self::Advised => {
+                false
+            }
+        }
+    }
 }
 
 impl Frame {
--- a/crates/geraniumgauge/src/edge/state/ended.rs
+++ b/crates/geraniumgauge/src/edge/state/ended.rs
@@ -41,7 +41,11 @@
                 self.log_given_back(&call, &ended.verdict);
             }
             let was_sent_here = call.link.is_some();
-            if was_sent_here && matches!(ended.verdict, forward::Verdict::Misdirected) {
+            let is_misdirected = matches!(
+                ended.verdict,
+                forward::Verdict::Misdirected | forward::Verdict::AddressLost
+            );
+            if was_sent_here && is_misdirected {
                 self.fleet.call_misdirected(call.upstream, now);
             }
             let took = ended.at.since(call.began);
@@ -52,11 +56,7 @@
             self.instruments.ended(verdict_name(&ended.verdict), took);
             if call.abandoned {
                 self.abandoned_call_ended(&call, &ended.verdict, now);
-                let was_made = !matches!(
-                    ended.verdict,
-                    forward::Verdict::NotSent | forward::Verdict::Misdirected
-                );
-                self.report_over(ended.call, was_made);
+                self.report_over(ended.call, ended.verdict.may_have_arrived());
                 continue;
             }
             match call.owner {
@@ -140,6 +140,7 @@
         forward::Verdict::Failure(_) => "failure",
         forward::Verdict::NotRun => "not_run",
         forward::Verdict::Misdirected => "misdirected",
+        forward::Verdict::AddressLost => "address_lost",
         forward::Verdict::NotSent => "not_sent",
         forward::Verdict::Advised(_) => "advised",
         forward::Verdict::NoBudget => "unpaid",
--- a/crates/geraniumgauge/src/edge/state/given_up.rs
+++ b/crates/geraniumgauge/src/edge/state/given_up.rs
@@ -94,15 +94,7 @@
         let Some(relayed) = self.peers.given_up.relayed.remove(&call) else {
             return;
         };
-        let was_made = match how {
-            frame::How::Good | frame::How::Failure | frame::How::NotRun | frame::How::Lost => true,
-            frame::How::Misdirected
-            | frame::How::NotSent
-            | frame::How::Unknown
-            | frame::How::NoBudget
-            | frame::How::Advised => false,
-        };
-        self.call_over(call, relayed.upstream, was_made, now);
+        self.call_over(call, relayed.upstream, how.may_have_arrived(), now);
     }
 
     /// Handles a relay that can't report any more what became of given-up calls.
--- a/crates/geraniumgauge/src/edge/state/identity.rs
+++ b/crates/geraniumgauge/src/edge/state/identity.rs
@@ -129,7 +129,7 @@
         self.close(link);
         let waiting = std::mem::take(&mut self.pool(upstream).waiting);
         for waiting in waiting {
-            self.end(waiting.call, forward::Verdict::Misdirected, now);
+            self.end(waiting.call, forward::Verdict::AddressLost, now);
         }
         self.deliver_ended(now);
     }
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -297,7 +297,14 @@
             .as_ref()
             .is_some_and(sender::Sender::is_writing);
         let closes = reply.close || extra_bytes || writing;
-        let verdict = call.message.verdict(reply);
+        let elsewhere = reply
+            .upstream_id
+            .as_deref()
+            .is_some_and(|other| self.fleet.is_of_other_service(other, call.upstream));
+        let verdict = match call.message.verdict(reply) {
+            forward::Verdict::Misdirected if elsewhere => forward::Verdict::AddressLost,
+            verdict => verdict,
+        };
         self.end(id, verdict, now);
         if closes {
             self.close(link);
--- a/crates/geraniumgauge/src/edge/state/report.rs
+++ b/crates/geraniumgauge/src/edge/state/report.rs
@@ -72,6 +72,7 @@
                 frame::How::Good | frame::How::Failure | frame::How::Lost => forward::Verdict::Lost,
                 frame::How::NotRun => forward::Verdict::NotRun,
                 frame::How::Misdirected => forward::Verdict::Misdirected,
+                frame::How::AddressLost => forward::Verdict::AddressLost,
                 frame::How::NotSent => forward::Verdict::NotSent,
                 frame::How::NoBudget => forward::Verdict::NoBudget,
                 frame::How::Advised => forward::Verdict::Advised(end.advice()),
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -314,6 +314,7 @@
             forward::Verdict::Failure(_) => (frame::How::Failure, None),
             forward::Verdict::NotRun => (frame::How::NotRun, None),
             forward::Verdict::Misdirected => (frame::How::Misdirected, None),
+            forward::Verdict::AddressLost => (frame::How::AddressLost, None),
             forward::Verdict::NotSent => (frame::How::NotSent, None),
             forward::Verdict::NoBudget => (frame::How::NoBudget, None),
             forward::Verdict::Advised(_) => (frame::How::Advised, None),
--- a/crates/geraniumgauge/src/edge/tests/identity.rs
+++ b/crates/geraniumgauge/src/edge/tests/identity.rs
@@ -178,7 +178,7 @@
         let Some(frame::Kind::Report(report)) = report.kind else {
             panic!("{report:?}");
         };
-        assert_eq!(report.ends[0].how(), frame::How::Misdirected);
+        assert_eq!(report.ends[0].how(), frame::How::AddressLost);
     });
 }
 
--- a/crates/geraniumgauge/src/forward/fleet.rs
+++ b/crates/geraniumgauge/src/forward/fleet.rs
@@ -239,7 +239,9 @@
             }
             forward::Verdict::Failure(_) | forward::Verdict::Lost => health.failed(now),
             forward::Verdict::NotRun => health.mark_full(forward::NO_CAPACITY_DELAY, now),
-            forward::Verdict::Misdirected => health.mark_misdirected(),
+            forward::Verdict::Misdirected | forward::Verdict::AddressLost => {
+                health.mark_misdirected();
+            }
             forward::Verdict::Advised(advice) => health.apply_advice(*advice, now),
             forward::Verdict::NotSent | forward::Verdict::NoBudget => {}
         }
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -83,12 +83,10 @@
         verdict: &forward::Verdict,
         now: clock::Moment,
     ) -> bool {
-        let settled = match verdict {
-            forward::Verdict::NotSent
-            | forward::Verdict::Misdirected
-            | forward::Verdict::Advised(_)
-            | forward::Verdict::NoBudget => self.transit.not_made(call),
-            _ => self.transit.ended(call),
+        let settled = if verdict.may_have_arrived() {
+            self.transit.ended(call)
+        } else {
+            self.transit.not_made(call)
         };
         let given_back = !settled.not_made.is_empty();
         self.settle(settled, now);
@@ -103,7 +101,9 @@
             forward::Verdict::Good(_) | forward::Verdict::Failure(_) | forward::Verdict::NotRun => {
                 self.upstream_answered(upstream, began, now);
             }
-            forward::Verdict::Misdirected => self.upstream_gone(upstream, "misdirected", now),
+            forward::Verdict::Misdirected | forward::Verdict::AddressLost => {
+                self.upstream_gone(upstream, "misdirected", now);
+            }
             _ => {}
         }
         given_back
--- a/crates/geraniumgauge/src/forward/job/mod.rs
+++ b/crates/geraniumgauge/src/forward/job/mod.rs
@@ -213,7 +213,8 @@
                 part.declined.push(call.upstream);
                 self.not_run(index, fleet, now, actions);
             }
-            forward::Verdict::Misdirected | forward::Verdict::NotSent => {
+            forward::Verdict::Misdirected => self.not_run(index, fleet, now, actions),
+            forward::Verdict::AddressLost | forward::Verdict::NotSent => {
                 part.arrivals -= 1;
                 self.not_run(index, fleet, now, actions);
             }
--- a/crates/geraniumgauge/src/forward/mod.rs
+++ b/crates/geraniumgauge/src/forward/mod.rs
@@ -192,8 +192,12 @@
     Failure(h1::Reply),
     /// The upstream replied that it didn't run the request.
     NotRun,
-    /// Not run: another upstream answers at the address.
+    /// Not run: another upstream answers at the address. It may be one of the same service,
+    /// as where the upstream has started again.
     Misdirected,
+    /// Not run: an upstream of another service answers at the address, or another one did
+    /// before the call was sent.
+    AddressLost,
     /// Not run: no byte of the request was sent.
     NotSent,
     /// Not made: the relay observed that the upstream is slow or declines
@@ -206,6 +210,17 @@
     Lost,
 }
 
+impl Verdict {
+    /// Returns whether the call has arrived at its service or may still do so. An upstream
+    /// that says that it didn't run a call has got it.
+    pub fn may_have_arrived(&self) -> bool {
+        !matches!(
+            self,
+            Self::AddressLost | Self::NotSent | Self::Advised(_) | Self::NoBudget
+        )
+    }
+}
+
 /// The reason why no upstream answered a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(derive_more::Display)]
--- a/crates/geraniumgauge/src/forward/tests/misdirected.rs
+++ b/crates/geraniumgauge/src/forward/tests/misdirected.rs
@@ -84,10 +84,48 @@
 /// Guards against searches that lose a shard, because the call that replaces a misdirected one
 /// needs an extra call of a service that got no call at all.
 #[test]
-fn the_call_that_replaces_a_misdirected_one_isnt_extra() {
+fn the_call_that_replaces_one_to_another_service_isnt_extra() {
     let mut search = Search::start(0.0);
-    search.refuse();
+    search
+        .world
+        .end(&mut search.job, 0, forward::Verdict::AddressLost);
     let replaced = search.world.sends.last().expect("another call");
     assert_eq!(search.world.sends.len(), 3);
     assert!(!replaced.payment.is_charged_here());
 }
+
+/// Guards against extra arrivals that no budget is charged for: an upstream that has started
+/// again refuses the call for its predecessor, and the next one is the second at the service.
+#[test]
+fn the_call_that_replaces_one_to_an_earlier_start_is_extra() {
+    let mut search = Search::start(0.0);
+    search.refuse();
+    assert_eq!(search.world.sends.len(), 2, "no budget allows another call");
+
+    let mut search = Search::start(1.5);
+    search.refuse();
+    let replaced = search.world.sends.last().expect("another call");
+    assert_eq!(search.world.sends.len(), 3);
+    assert!(replaced.payment.is_charged_here());
+}
+
+/// Guards against a charge that is given back for an extra call that has arrived, but was
+/// refused for another start of the upstream.
+#[test]
+fn an_extra_call_to_an_earlier_start_stays_charged() {
+    let mut search = Search::start(1.5);
+    search.world.advance_to(&mut search.job, 40);
+    assert!(search.world.sends[2].payment.is_charged_here());
+    let service = search
+        .world
+        .fleet
+        .registry
+        .get(search.world.sends[2].upstream);
+    let service = service.entry.service.clone();
+    let verdict = forward::Verdict::Misdirected;
+    search.world.end(&mut search.job, 2, verdict);
+    let (call, now) = (ids::Attempt(100), search.world.now);
+    let earlier = forward::Siblings::default();
+    let granted = search.world.fleet.take_extra(&service, call, &earlier, now);
+    assert_eq!(granted, None, "the budget is used up");
+}
