A relay's refusal doesn't give back the charge of a sibling

Cause: of a part's calls one was left to a relay to charge, a later one was charged to the VM's own budget, as that had room again, and both were noted as siblings. When the relay refused the first, the VM took it for a call of its own that wasn't made and gave back the one charge of the part, whose call had been sent. Traced: request at w47, charged for u298-w47 and given back for u299-w47 (unpaid) in the same millisecond.

Calls that relays pay for aren't among the siblings any more: their charges begin and end at the relay. The test failed before: no charge left.

--- a/crates/geraniumgauge/src/forward/job/calls.rs
+++ b/crates/geraniumgauge/src/forward/job/calls.rs
@@ -68,6 +68,7 @@
             began: now,
             progress: part::Progress::Pending,
             reason,
+            relay_pays: payment == forward::Payment::Relay,
         });
         part.hedge_at = None;
         let repeatable = self.entry.route.repeat == route::Repeat::Idempotent;
--- a/crates/geraniumgauge/src/forward/part.rs
+++ b/crates/geraniumgauge/src/forward/part.rs
@@ -19,6 +19,8 @@
     pub(super) began: clock::Moment,
     pub(super) progress: Progress,
     pub(super) reason: forward::CallReason,
+    /// Whether a relay charges and watches it.
+    pub(super) relay_pays: bool,
 }
 
 /// How much is known about a call that has no reply.
@@ -118,10 +120,12 @@
         matches!(self.state, State::Done(_))
     }
 
-    /// Returns the calls that may arrive as extra ones if another one is made.
+    /// Returns the calls that may arrive as extra ones if another one is made. Those that
+    /// relays pay for aren't among them: if one isn't made, its own charge ends, at the relay.
     pub(super) fn siblings(&self) -> forward::Siblings {
+        let watched = self.calls.iter().filter(|call| !call.relay_pays);
         forward::Siblings {
-            in_progress: self.calls.iter().map(|call| call.id).collect(),
+            in_progress: watched.map(|call| call.id).collect(),
             lost: self.lost.clone(),
         }
     }
--- a/crates/geraniumgauge/src/forward/tests/transit.rs
+++ b/crates/geraniumgauge/src/forward/tests/transit.rs
@@ -2,6 +2,7 @@
 use crate::forward;
 use crate::ids;
 use crate::registry;
+use crate::route;
 use crate::time as clock;
 
 /// Upstreams of one service, and the charges of one VM.
@@ -180,3 +181,26 @@
     assert!(!allows(&mut world, at(24_900)));
     assert!(allows(&mut world, now + window));
 }
+
+/// Guards against a charge that is given back although its call was made: a relay refuses
+/// another call of the same part, which it was to pay for.
+#[test]
+fn a_call_that_its_relay_refuses_leaves_its_siblings_charge() {
+    let mut world = world::World::new(1, 3);
+    let shares = forward::Shares::new(forward::SizeClass::Small, 1, 1);
+    world.fleet.set_shares(shares, clock::Moment::default());
+    world.fleet.policy.extra_calls = 0.0;
+    let mut job = world.start(route::Route {
+        attempts: 3,
+        ..world::shards(1, 100)
+    });
+    world.advance_to(&mut job, 40);
+    assert_eq!(world.sends[1].payment, forward::Payment::Relay);
+    world.fleet.policy.extra_calls = 4.0;
+    world.advance_to(&mut job, 80);
+    assert!(world.sends[2].payment.is_charged_here());
+    world.end(&mut job, 1, forward::Verdict::NoBudget);
+    let (charged, now) = (world.sends[2].call, world.now);
+    let usage = world.fleet.extra_usage(charged, now);
+    assert_eq!(usage.map(|usage| usage.window.in_transit), Some(1));
+}
