A request earns its extra calls whoever makes its first call

Callers of requests to one replica got fewer extra calls than the allowance has room for, now that each is charged: half of what a request earns goes to the VM that makes its first call, and a VM that makes it for itself didn't count it. First calls of such requests are never relayed.

The sum over the fleet stays, each request counts once in each kind; the property tests now count first calls in the same way. The new test failed before (4 calls in place of 8).

--- a/crates/geraniumgauge/src/edge/state/mod.rs
+++ b/crates/geraniumgauge/src/edge/state/mod.rs
@@ -268,6 +268,9 @@
             return self.end(send.call, forward::Verdict::NoBudget, now);
         };
         self.instruments.call(send.reason);
+        if send.reason == forward::CallReason::First {
+            self.fleet.count_first_call(send.upstream, now);
+        }
         let call = send.call;
         self.wait_for_link(send.upstream, pool::Waiting::new(call, permit), now);
     }
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -189,7 +189,7 @@
         }
         let id = self.fleet.next_call();
         if terms.first {
-            self.fleet.count_relayed_request(upstream, now);
+            self.fleet.count_first_call(upstream, now);
         }
         let permit = if terms.charge_relay {
             let earlier = self.handles(&requested.earlier);
--- a/crates/geraniumgauge/src/forward/allowance.rs
+++ b/crates/geraniumgauge/src/forward/allowance.rs
@@ -11,7 +11,7 @@
 //! The sum stays within the allowance without messages between VMs: each VM
 //! spends its own shares by its own counts, a request is counted once in each
 //! kind of budget, by the VM that received it and by the VM that makes its first
-//! call, and a VM that dies takes its unspent share with it. A share that a VM
+//! call, which may be the same, and a VM that dies takes its unspent share with it. A share that a VM
 //! gains is usable only after a window, because its former holder may have spent
 //! it: another VM, or this one before a restart, unless it left word of what it has
 //! spent.
@@ -145,15 +145,21 @@
             .of(service, |budget| budget.count_request(policy, now));
     }
 
-    /// Counts a request whose first call this VM makes for another VM.
-    pub fn count_relayed_request(
+    /// Counts a request whose first call this VM makes, for itself or for another VM. A small
+    /// VM has one budget for both kinds, as the few calls that it may make don't divide well.
+    pub fn count_first_call(
         &mut self,
         service: &ids::Service,
         policy: &forward::Policy,
         now: clock::Moment,
     ) {
-        self.shared
-            .of(service, |budget| budget.count_request(policy, now));
+        let budgets = match self.shares {
+            forward::Shares { lent: Some(_), .. } => &mut self.shared,
+            forward::Shares { may_ask: true, .. } => &mut self.own,
+            // The budget for own calls has the whole allowance.
+            _ => return,
+        };
+        budgets.of(service, |budget| budget.count_request(policy, now));
     }
 
     /// Returns whether calls of this VM's predecessor may have arrived at `service` within
--- a/crates/geraniumgauge/src/forward/fleet/extra.rs
+++ b/crates/geraniumgauge/src/forward/fleet/extra.rs
@@ -244,11 +244,10 @@
         std::mem::take(&mut self.settled)
     }
 
-    /// Counts a request of another VM whose first call this VM makes.
-    pub fn count_relayed_request(&mut self, upstream: registry::Handle, now: clock::Moment) {
+    /// Counts a request whose first call this VM makes, for itself or for another VM.
+    pub fn count_first_call(&mut self, upstream: registry::Handle, now: clock::Moment) {
         let service = &self.registry.get(upstream).entry.service;
-        self.allowance
-            .count_relayed_request(service, &self.policy, now);
+        self.allowance.count_first_call(service, &self.policy, now);
     }
 
     /// Charges the extra call `call`, which this VM makes for another one, to its
--- a/crates/geraniumgauge/src/forward/tests/allowance.rs
+++ b/crates/geraniumgauge/src/forward/tests/allowance.rs
@@ -439,3 +439,31 @@
         assert_eq!(format!("{shares:?}"), format!("{expected:?}"));
     }
 }
+
+/// Guards against requests that earn half of the extra calls that they allow: those whose
+/// first call a small VM makes itself, as it does where they go to one upstream.
+#[test]
+fn a_request_earns_as_much_whoever_makes_its_first_call() {
+    let policy = spending::policy();
+    let service = world::name(0);
+    let earned = |makes_first_calls: bool| {
+        let mut allowance = forward::Allowance::default();
+        let shares = forward::Shares::new(forward::SizeClass::Small, 10_000, 1);
+        allowance.set_shares(shares, clock::Moment::default());
+        for at in 0..200 {
+            let at = clock::Moment::from_millis(20_000 + 50 * at);
+            allowance.count_request(&service, &policy, at);
+            if makes_first_calls {
+                allowance.count_first_call(&service, &policy, at);
+            }
+        }
+        let now = clock::Moment::from_millis(30_000);
+        let charged = std::iter::from_fn(|| {
+            let grant = allowance.take_extra(&service, false, &policy, now);
+            matches!(grant, Some(forward::Grant::Charged(_))).then_some(())
+        });
+        charged.count()
+    };
+    assert_eq!(earned(true), 2 * earned(false));
+    assert!(earned(true) > 0);
+}
--- a/crates/geraniumgauge/src/forward/tests/spending.rs
+++ b/crates/geraniumgauge/src/forward/tests/spending.rs
@@ -91,7 +91,8 @@
         }
     }
 
-    /// A small VM receives a request. `relay`, if given, makes its first call.
+    /// A small VM receives a request. `relay`, if given, makes its first call, and otherwise
+    /// the VM itself.
     pub(super) fn request(&mut self, vm: usize, relay: Option<usize>) {
         let policy = policy();
         let now = self.now;
@@ -100,13 +101,13 @@
         coordinator
             .allowance
             .count_request(&self.service, &policy, at);
-        if let Some(relay) = relay {
-            let relay = &mut self.vms[SMALL + relay % LARGE];
-            let at = relay.clock(now);
-            relay
-                .allowance
-                .count_relayed_request(&self.service, &policy, at);
-        }
+        let maker = match relay {
+            Some(relay) => SMALL + relay % LARGE,
+            None => vm % SMALL,
+        };
+        let maker = &mut self.vms[maker];
+        let at = maker.clock(now);
+        maker.allowance.count_first_call(&self.service, &policy, at);
         self.requests.push(now);
     }
 
