A reply that names no request proves nothing

Cause: additional bytes of a faulty replica, in the form of a refusal without a request id, were taken for the reply to the call in progress, and so as proof that it hadn't run. The platform's replicas echo the id.

A reply without an id can't be used now: the call counts as one that may have run, and the connection is closed. Only a 421 that names another upstream than the one meant is proof without an id. To pass over such a reply and wait would hold the call until its deadline, if a replica's only reply had no id.

The new test failed before.

--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -8,6 +8,7 @@
 use tokio::net::tcp;
 use tokio::task;
 
+use crate::edge::call;
 use crate::edge::pool;
 use crate::edge::sender;
 use crate::edge::state;
@@ -296,15 +297,8 @@
             .sender
             .as_ref()
             .is_some_and(sender::Sender::is_writing);
-        let closes = reply.close || extra_bytes || writing;
-        let elsewhere = reply
-            .upstream_id
-            .as_deref()
-            .is_some_and(|other| self.fleet.is_of_other_service(other, call.upstream));
-        let verdict = match call.message.verdict(reply) {
-            forward::Verdict::Misdirected if elsewhere => forward::Verdict::AddressLost,
-            verdict => verdict,
-        };
+        let closes = reply.close || extra_bytes || writing || reply.id.is_none();
+        let verdict = self.verdict(call, reply);
         self.end(id, verdict, now);
         if closes {
             self.close(link);
@@ -315,6 +309,28 @@
         !closes
     }
 
+    /// Classifies a reply to a call.
+    fn verdict(&self, call: &call::Call, reply: h1::Reply) -> forward::Verdict {
+        let answers = reply.upstream_id.clone();
+        let entry = &self.fleet.registry.get(call.upstream).entry;
+        let is_other = answers.as_ref().is_some_and(|id| id != entry.id.as_str());
+        if reply.id.is_none() && !(reply.status == 421 && is_other) {
+            // It may be additional bytes, and proves nothing.
+            log::warn!(
+                request = call.message.id.as_str(), service = entry.service.as_str(),
+                upstream = entry.id.as_str(), status = reply.status;
+                "reply names no request; it can't be used"
+            );
+            return forward::Verdict::Lost;
+        }
+        let elsewhere =
+            answers.is_some_and(|id| self.fleet.is_of_other_service(&id, call.upstream));
+        match call.message.verdict(reply) {
+            forward::Verdict::Misdirected if elsewhere => forward::Verdict::AddressLost,
+            verdict => verdict,
+        }
+    }
+
     /// Keeps the connection of a given-up call until the upstream closes it. It doesn't count
     /// any more, as the upstream closes it unless it is paused.
     pub(super) fn linger(&mut self, link: pool::Link, call: ids::Attempt, now: clock::Moment) {
--- a/crates/geraniumgauge/src/edge/tests/given_up.rs
+++ b/crates/geraniumgauge/src/edge/tests/given_up.rs
@@ -129,7 +129,8 @@
         let (writer, _upstream) = world::connection().await;
         relay.state.connected(link, writer, world::NOW);
         let headers = b"x-signature: a\r\n".to_vec();
-        let reply = h1::Reply::whole(500, headers.clone(), "failed".into());
+        let mut reply = h1::Reply::whole(500, headers.clone(), "failed".into());
+        reply.id = Some("q1".to_owned());
         relay.state.replied(link, reply, false, world::NOW);
         relay.requester.readable().await.expect("a report");
         let report = relay.report().expect("a report");
--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -86,27 +86,35 @@
 }
 
 pub(super) fn search() -> (rc::Rc<route::table::Entry>, h1::Request) {
-    request(route::Target::Shards(route::Shards {
+    let shards = route::Shards {
         services: vec!["s".parse().expect("a name")],
         top_k: 3,
         min_coverage: rate::Share::percent(100),
-    }))
+    };
+    request(route::Target::Shards(shards), route::Repeat::Idempotent)
 }
 
 /// Returns a request to one upstream of service `s`.
 fn single() -> (rc::Rc<route::table::Entry>, h1::Request) {
-    request(route::Target::One(vec![route::Weighted {
+    request(single_target(), route::Repeat::Idempotent)
+}
+
+fn single_target() -> route::Target {
+    route::Target::One(vec![route::Weighted {
         service: "s".parse().expect("a name"),
         weight: 1.0,
-    }]))
+    }])
 }
 
-fn request(target: route::Target) -> (rc::Rc<route::table::Entry>, h1::Request) {
+fn request(
+    target: route::Target,
+    repeat: route::Repeat,
+) -> (rc::Rc<route::table::Entry>, h1::Request) {
     let route = route::Route {
         name: "r".to_owned(),
         host: "one.example".to_owned(),
         prefix: "/".to_owned(),
-        repeat: route::Repeat::Idempotent,
+        repeat,
         attempts: 2,
         timeout: time::Duration::from_millis(600),
         latency_target: time::Duration::from_millis(100),
@@ -271,3 +279,28 @@
         }
     });
 }
+
+/// Guards against requests that run twice: a refusal that names no request, as additional
+/// bytes of a faulty upstream, is taken for proof that the call in progress wasn't run.
+#[test]
+fn a_refusal_that_names_no_request_proves_nothing() {
+    run(async {
+        let mut state = small_vm(address(9), 2);
+        let (entry, request) = request(single_target(), route::Repeat::Once);
+        let id = state.submit(entry, request, rc::Rc::default(), NOW);
+        let link = match state.effects.pop() {
+            Some(state::Effect::Open { link, .. }) => link,
+            other => panic!("{other:?}"),
+        };
+        let (writer, _upstream) = connection().await;
+        state.connected(link, writer, NOW);
+        let mut refusal = h1::Reply::whole(503, Vec::new(), bytes::Bytes::new());
+        refusal.not_run = true;
+        assert!(!state.replied(link, refusal, false, NOW), "it closes");
+        assert_eq!(opened(&state), []);
+        match state.take(id, NOW) {
+            Some((forward::Outcome::Unknown { .. }, _)) => {}
+            other => panic!("{other:?}"),
+        }
+    });
+}
