--- a/crates/geraniumgauge/src/forward/permit.rs
+++ b/crates/geraniumgauge/src/forward/permit.rs
@@ -1,10 +1,10 @@
 //! Permits to send calls.
 //!
-//! The first call of a part needs no budget, each further one is charged to one. Both are
-//! decided here, in one place; the way from the decision to the connection may be long, over
-//! queues and other VMs. Therefore the decision is a value that the call carries: only code
-//! of this module's parent makes a [`Permit`], it can't be copied, and a call without one
-//! can't be queued for a connection.
+//! The first call of a part needs no budget, each further one is charged to one. The way from
+//! that decision to the connection may be long, over queues and other VMs. Therefore the
+//! decision is a value that the call carries: parts and budgets make a [`Permit`], it can't be
+//! copied, and a call without one can't be queued for a connection. A relay that doesn't pay
+//! for a call has only its requester's word, see [`Permit::of_requester`].
 
 /// Permission for this VM to send one call.
 #[derive(Debug, PartialEq, Eq)]
@@ -23,7 +23,7 @@
         Self { is_extra: true }
     }
 
-    /// Permits a call of another VM, which has a permit for it.
+    /// Permits a call that a relay makes for another VM, which says that it has a permit.
     pub fn of_requester() -> Self {
         Self { is_extra: false }
     }
