A connection's error that its writing task gets ends the reply, too

Cause: the system reports the error of a connection once. If the task that writes gets it, the next read returns 0, as at a regular end, and a reply without a length counts as whole.

Change: edge::receiver is the read half of a connection; before it reports a regular end, it asks the write half whether writing has got an error. EPIPE is none: the system reports a reset so after the other side has ended the connection regularly. The writing task leaves the error in the socket once the event loop knows that the connection has failed, so that a time-out of unacknowledged bytes after a regular end doesn't spoil a whole reply. The line `connection ended during a call` names the task and what was unwritten.

Why it works: a read of 0 without a regular end needs another call that took the error; writing is the only one, and records it in the same step.

Tests: edge::tests::receiver.

--- a/crates/geraniumgauge/src/edge/link.rs
+++ b/crates/geraniumgauge/src/edge/link.rs
@@ -6,12 +6,11 @@
 use std::rc;
 use std::time;
 
-use tokio::io::AsyncReadExt as _;
-use tokio::net::tcp;
 use tokio_util::codec::Decoder as _;
 
 use crate::edge;
 use crate::edge::pool;
+use crate::edge::receiver;
 use crate::edge::state;
 use crate::h1;
 use crate::rate;
@@ -40,8 +39,8 @@
 impl Opening {
     /// Opens the connection and serves it until it ends.
     pub(super) async fn run(self) {
-        let (reader, writer) = match connect(self.address).await {
-            Ok(stream) => stream.into_split(),
+        let (receiver, sender) = match connect(self.address).await {
+            Ok(stream) => receiver::Receiver::split(stream),
             Err(error) => {
                 return self
                     .engine
@@ -50,8 +49,8 @@
         };
         let link = self.link;
         self.engine
-            .with(|state, now| state.connected(link, writer, now));
-        let why = match self.read(reader).await {
+            .with(|state, now| state.connected(link, sender, now));
+        let why = match self.read(receiver).await {
             Ok(()) => return,
             Err(error) => error.to_string(),
         };
@@ -59,12 +58,12 @@
     }
 
     /// Reads replies until the connection ends.
-    async fn read(&self, mut reader: tcp::OwnedReadHalf) -> Result<(), h1::Error> {
+    async fn read(&self, mut receiver: receiver::Receiver) -> Result<(), h1::Error> {
         let mut codec = h1::ReplyCodec::new(*self.engine.names(), MAX_REPLY);
         let mut buffer = bytes::BytesMut::new();
         loop {
             buffer.reserve(READ_BUFFER_SIZE);
-            let count = reader.read_buf(&mut buffer).await?;
+            let count = receiver.read(&mut buffer).await?;
             if !self.engine.is_busy(self.link) {
                 return Err(h1::Error::Malformed(
                     "idle connection closed, or sent unexpected data",
--- a/crates/geraniumgauge/src/edge/mod.rs
+++ b/crates/geraniumgauge/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod operators;
 mod peers;
 mod pool;
+mod receiver;
 mod sender;
 mod server;
 mod state;
--- a/crates/geraniumgauge/src/edge/sender.rs
+++ b/crates/geraniumgauge/src/edge/sender.rs
@@ -30,6 +30,9 @@
     /// Whether a task is writing the queued bytes.
     writing: bool,
     failed: bool,
+    /// The connection's error, if writing got it. The system reports an error once: a read
+    /// after it returns the same as at a regular end of the connection.
+    error: Option<io::Error>,
 }
 
 impl Sender {
@@ -58,7 +61,7 @@
         let written = match self.writer.try_write(bytes) {
             Ok(written) => written,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
-            Err(error) => return Err(error),
+            Err(error) => return Err(queue.fail(error)),
         };
         if written < bytes.len() {
             queue.bytes.extend_from_slice(&bytes[written..]);
@@ -90,19 +93,43 @@
         self.queue.borrow().writing
     }
 
+    /// Returns whether nothing can be written any more.
+    #[cfg(test)]
+    pub(super) fn has_failed(&self) -> bool {
+        self.queue.borrow().failed
+    }
+
+    /// Checks that writing hasn't got an error of the connection.
+    ///
+    /// # Errors
+    /// The error that it got. After one that says that the other side has ended the connection
+    /// regularly, and only refuses further bytes, there is none.
+    pub(super) fn check_connection(&self) -> io::Result<()> {
+        let queue = self.queue.borrow();
+        let failure = queue.error.as_ref();
+        let Some(error) = failure.filter(|error| error.kind() != io::ErrorKind::BrokenPipe) else {
+            return Ok(());
+        };
+        let unwritten = queue.bytes.len();
+        let text = format!("{error}, while writing, with {unwritten} bytes unwritten");
+        Err(io::Error::new(error.kind(), text))
+    }
+
     /// Writes the queued bytes. The task that reads the connection reports failures.
     async fn flush(self) {
         loop {
-            if self.writer.writable().await.is_err() {
-                self.queue.borrow_mut().failed = true;
+            let ready = self.writer.ready(tokio::io::Interest::WRITABLE).await;
+            let mut queue = self.queue.borrow_mut();
+            if ready.map_or(true, |ready| ready.is_write_closed()) {
+                // The system's error is left to the task that reads.
+                queue.failed = true;
                 return;
             }
-            let mut queue = self.queue.borrow_mut();
             match self.writer.try_write(&queue.bytes) {
                 Ok(written) => queue.bytes.advance(written),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => {
-                    queue.failed = true;
+                Err(error) => {
+                    queue.fail(error);
                     return;
                 }
             }
@@ -113,3 +140,13 @@
         }
     }
 }
+
+impl Queue {
+    /// Records that writing failed. Returns the error for the caller.
+    fn fail(&mut self, error: io::Error) -> io::Error {
+        let returned = io::Error::from(error.kind());
+        self.failed = true;
+        self.error = Some(error);
+        returned
+    }
+}
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -5,7 +5,6 @@
 use std::rc;
 use std::time;
 
-use tokio::net::tcp;
 use tokio::task;
 
 use crate::edge::call;
@@ -142,14 +141,14 @@
     pub(in crate::edge) fn connected(
         &mut self,
         link: pool::Link,
-        writer: tcp::OwnedWriteHalf,
+        sender: sender::Sender,
         now: clock::Moment,
     ) {
         let Some(connection) = self.links.get_mut(&link) else {
             return;
         };
         self.instruments.connection("open");
-        connection.sender = Some(sender::Sender::new(writer));
+        connection.sender = Some(sender);
         let upstream = connection.upstream;
         let unused = self.eligibility(upstream, now) == registry::Eligibility::Never;
         if unused || self.fleet.has_address(upstream, now) {
--- a/crates/geraniumgauge/src/edge/tests/given_up.rs
+++ b/crates/geraniumgauge/src/edge/tests/given_up.rs
@@ -5,7 +5,6 @@
 
 use super::state as world;
 use crate::edge::frame;
-use crate::edge::sender;
 use crate::edge::state;
 use crate::h1;
 
@@ -22,8 +21,8 @@
 impl Relay {
     async fn new() -> Self {
         let mut state = world::small_vm(world::address(9), 1);
-        let (writer, requester) = world::connection().await;
-        let peer = state.peer_accepted(sender::Sender::new(writer));
+        let (sender, requester) = world::connection().await;
+        let peer = state.peer_accepted(sender);
         Self {
             state,
             peer,
@@ -96,8 +95,8 @@
             Some(state::Effect::Open { link, .. }) => link,
             other => panic!("{other:?}"),
         };
-        let (writer, mut upstream) = world::connection().await;
-        relay.state.connected(link, writer, world::NOW);
+        let (sender, mut upstream) = world::connection().await;
+        relay.state.connected(link, sender, world::NOW);
         relay.abandon();
         let due = world::NOW + state::ABANDONED_CALL_GRACE;
         assert_eq!(relay.state.sweep(due), None);
@@ -126,8 +125,8 @@
             Some(state::Effect::Open { link, .. }) => link,
             other => panic!("{other:?}"),
         };
-        let (writer, _upstream) = world::connection().await;
-        relay.state.connected(link, writer, world::NOW);
+        let (sender, _upstream) = world::connection().await;
+        relay.state.connected(link, sender, world::NOW);
         let headers = b"x-signature: a\r\n".to_vec();
         let mut reply = h1::Reply::whole(500, headers.clone(), "failed".into());
         reply.id = Some("q1".to_owned());
--- a/crates/geraniumgauge/src/edge/tests/handover.rs
+++ b/crates/geraniumgauge/src/edge/tests/handover.rs
@@ -7,7 +7,6 @@
 
 use super::state as world;
 use crate::edge::frame;
-use crate::edge::sender;
 use crate::edge::state;
 
 /// A VM that a successor connects to.
@@ -20,8 +19,8 @@
 impl Keeper {
     async fn new() -> Self {
         let mut state = world::small_vm(world::address(9), 1);
-        let (writer, successor) = world::connection().await;
-        let peer = state.peer_accepted(sender::Sender::new(writer));
+        let (sender, successor) = world::connection().await;
+        let peer = state.peer_accepted(sender);
         Self {
             state,
             successor,
--- a/crates/geraniumgauge/src/edge/tests/identity.rs
+++ b/crates/geraniumgauge/src/edge/tests/identity.rs
@@ -9,7 +9,6 @@
 use super::state as world;
 use crate::edge::frame;
 use crate::edge::pool;
-use crate::edge::sender;
 use crate::edge::state;
 use crate::h1;
 use crate::ids;
@@ -48,8 +47,8 @@
     async fn relaying() -> (Self, tokio::net::TcpStream) {
         let mut state = world::small_vm(world::address(9), 1);
         state.table = Some(rc::Rc::new(table()));
-        let (writer, requester) = world::connection().await;
-        let peer = state.peer_accepted(sender::Sender::new(writer));
+        let (sender, requester) = world::connection().await;
+        let peer = state.peer_accepted(sender);
         let mut entry = state
             .fleet
             .registry
@@ -80,9 +79,9 @@
     }
 
     async fn connect(&mut self, now: clock::Moment) {
-        let (writer, upstream) = world::connection().await;
+        let (sender, upstream) = world::connection().await;
         self.upstream = Some(upstream);
-        self.state.connected(self.link, writer, now);
+        self.state.connected(self.link, sender, now);
     }
 
     /// Returns what the upstream has received.
--- a/crates/geraniumgauge/src/edge/tests/mod.rs
+++ b/crates/geraniumgauge/src/edge/tests/mod.rs
@@ -2,5 +2,6 @@
 mod handover;
 mod identity;
 mod peers;
+mod receiver;
 mod sender;
 mod state;
--- a/crates/geraniumgauge/src/edge/tests/sender.rs
+++ b/crates/geraniumgauge/src/edge/tests/sender.rs
@@ -2,7 +2,7 @@
 
 use tokio::io::AsyncReadExt as _;
 
-use crate::edge::sender;
+use crate::edge::tests::state as world;
 
 /// Size of a message that is larger than the queue's limit.
 const LARGE_MESSAGE_BYTES: usize = 3 << 20;
@@ -11,18 +11,8 @@
 /// limit, so that every VM that fetches it waits in vain.
 #[test]
 fn a_message_larger_than_the_queue_is_sent_whole() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
-        let listener = listener.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let (stream, accepted) =
-            tokio::join!(tokio::net::TcpStream::connect(address), listener.accept());
-        let (_reader, writer) = stream.expect("a connection").into_split();
-        let sender = sender::Sender::new(writer);
-        let (mut other, _) = accepted.expect("a connection");
+    world::run(async {
+        let (sender, mut other) = world::connection().await;
         sender
             .send(&vec![7; LARGE_MESSAGE_BYTES])
             .expect("an empty queue accepts a message of any size");
--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -5,10 +5,9 @@
 use std::rc;
 use std::time;
 
-use tokio::net::tcp;
-
 use crate::edge;
 use crate::edge::frame;
+use crate::edge::receiver;
 use crate::edge::sender;
 use crate::edge::state;
 use crate::forward;
@@ -137,13 +136,22 @@
 }
 
 /// Returns the write half of a connection, and its other end.
-pub(super) async fn connection() -> (tcp::OwnedWriteHalf, tokio::net::TcpStream) {
+pub(super) async fn connection() -> (sender::Sender, tokio::net::TcpStream) {
+    let (stream, other) = ends().await;
+    let (_, sender) = receiver::Receiver::split(stream);
+    (sender, other)
+}
+
+/// Returns both ends of a connection.
+pub(super) async fn ends() -> (tokio::net::TcpStream, tokio::net::TcpStream) {
     let listener = tokio::net::TcpListener::bind(address(0)).await;
     let listener = listener.expect("a port");
     let to = listener.local_addr().expect("an address");
     let (stream, accepted) = tokio::join!(tokio::net::TcpStream::connect(to), listener.accept());
-    let (_, writer) = stream.expect("a connection").into_split();
-    (writer, accepted.expect("a connection").0)
+    (
+        stream.expect("a connection"),
+        accepted.expect("a connection").0,
+    )
 }
 
 /// Runs a test's future on one thread.
@@ -161,16 +169,16 @@
     run(async {
         let relay = address(9);
         let mut state = small_vm(relay, 2);
-        let (writer, _relay) = connection().await;
-        state.peer_connected(relay, sender::Sender::new(writer), NOW);
+        let (sender, _relay) = connection().await;
+        state.peer_connected(relay, sender, NOW);
         let (entry, request) = search();
         let id = state.submit(entry, request, rc::Rc::default(), NOW);
         let first = match state.effects.pop() {
             Some(state::Effect::Open { link, .. }) => link,
             other => panic!("{other:?}"),
         };
-        let (writer, _upstream) = connection().await;
-        state.connected(first, writer, NOW);
+        let (sender, _upstream) = connection().await;
+        state.connected(first, sender, NOW);
         // The first call is lost, so the relay is asked for an extra one.
         state.ended(first, "closed", NOW);
         state.effects.clear();
@@ -194,8 +202,8 @@
         Some(state::Effect::Open { link, .. }) => link,
         other => panic!("{other:?}"),
     };
-    let (writer, _upstream) = connection().await;
-    state.connected(first, writer, NOW);
+    let (sender, _upstream) = connection().await;
+    state.connected(first, sender, NOW);
     state.ended(first, "closed", NOW);
     id
 }
@@ -229,8 +237,8 @@
     run(async {
         let relay = address(9);
         let mut state = small_vm(relay, 2);
-        let (writer, _relay) = connection().await;
-        state.peer_connected(relay, sender::Sender::new(writer), NOW);
+        let (sender, _relay) = connection().await;
+        state.peer_connected(relay, sender, NOW);
         let id = lose_first_call(&mut state).await;
         assert_eq!(opened(&state), [address(0)]);
         let extra = ids::Attempt(2);
@@ -264,8 +272,8 @@
     run(async {
         let relay = address(9);
         let mut state = small_vm(relay, 2);
-        let (writer, _relay) = connection().await;
-        state.peer_connected(relay, sender::Sender::new(writer), NOW);
+        let (sender, _relay) = connection().await;
+        state.peer_connected(relay, sender, NOW);
         let id = lose_first_call(&mut state).await;
         let report = frame::Report {
             ends: vec![frame::End::new(2, frame::How::Good)],
@@ -292,8 +300,8 @@
             Some(state::Effect::Open { link, .. }) => link,
             other => panic!("{other:?}"),
         };
-        let (writer, _upstream) = connection().await;
-        state.connected(link, writer, NOW);
+        let (sender, _upstream) = connection().await;
+        state.connected(link, sender, NOW);
         let mut refusal = h1::Reply::whole(503, Vec::new(), bytes::Bytes::new());
         refusal.not_run = true;
         assert!(!state.replied(link, refusal, false, NOW), "it closes");
