Headers are limited by their bytes alone

What callers saw: 431 for requests with more than 64 headers, in a tenth of the bytes that the operator allows; they don't repeat such requests.

Cause: h1 parsed heads into an array of 64 headers, and took one that didn't fit for a head that is too large, whatever the limit. Of the same kind: 16 trailers or 4 KiB of them, 256 bytes before a chunk.

Change: h1::scan finds the end of a head, of trailers and of a chunk's line as bytes arrive, counts lines, and says when to parse. Room for headers follows from the lines. Names in Connection are kept in a set.

Why it works: no count is left, only bytes. A header's room is 32 bytes, its line has three at least. An incomplete head is parsed again only once it has doubled, so all attempts together take time in proportion to its length.

--- a/crates/geraniumgauge/src/h1/body.rs
+++ b/crates/geraniumgauge/src/h1/body.rs
@@ -3,19 +3,19 @@
 use bytes::Buf as _;
 
 use crate::h1;
+use crate::h1::scan;
 use crate::rate;
 
-/// Longest chunk size line with its extensions, in bytes.
-const MAX_SIZE_LINE: usize = 256;
-/// Largest size of all trailers, in bytes. Trailers are dropped.
-const MAX_TRAILERS: usize = 4096;
-
 /// A decoder of one body.
 #[derive(Debug)]
 pub struct Body {
     end: End,
     buffer: bytes::BytesMut,
     limit: rate::Bytes,
+    /// Maximum size of the trailers, which are dropped, and of the line of a chunk's size with
+    /// its extensions.
+    lines_limit: rate::Bytes,
+    scan: scan::Scan,
 }
 
 /// How the end of a body is found.
@@ -51,24 +51,27 @@
         if len as u64 > limit.0 {
             return Err(h1::Error::BodyTooLarge(limit));
         }
-        Ok(Self::new(End::Length(len), limit))
+        Ok(Self::new(End::Length(len), limit, rate::Bytes(0)))
     }
 
-    /// Creates a decoder of a chunked body.
-    pub fn chunked(limit: rate::Bytes) -> Self {
-        Self::new(End::Chunked(Chunk::Size), limit)
+    /// Creates a decoder of a chunked body. `lines_limit` limits the trailers, and the line
+    /// before each chunk.
+    pub fn chunked(limit: rate::Bytes, lines_limit: rate::Bytes) -> Self {
+        Self::new(End::Chunked(Chunk::Size), limit, lines_limit)
     }
 
     /// Creates a decoder of a body that ends when the connection is closed.
     pub fn until_close(limit: rate::Bytes) -> Self {
-        Self::new(End::UntilClose, limit)
+        Self::new(End::UntilClose, limit, rate::Bytes(0))
     }
 
-    fn new(end: End, limit: rate::Bytes) -> Self {
+    fn new(end: End, limit: rate::Bytes, lines_limit: rate::Bytes) -> Self {
         Self {
             end,
             buffer: bytes::BytesMut::new(),
             limit,
+            lines_limit,
+            scan: scan::Scan::new(scan::Kind::Line),
         }
     }
 
@@ -118,11 +121,11 @@
     ) -> Result<Option<bytes::Bytes>, h1::Error> {
         while let End::Chunked(state) = self.end {
             let next = match state {
-                Chunk::Size => read_size(source)?,
+                Chunk::Size => self.read_size(source)?,
                 Chunk::Data(remaining) => self.read_data(remaining, source)?,
                 Chunk::DataEnd => read_data_end(source)?,
                 Chunk::Trailers => {
-                    if !skip_trailers(source)? {
+                    if !self.skip_trailers(source)? {
                         return Ok(None);
                     }
                     return Ok(Some(std::mem::take(&mut self.buffer).freeze()));
@@ -149,22 +152,41 @@
         self.end = End::Chunked(Chunk::Data(remaining - len));
         Ok(None)
     }
-}
 
-fn read_size(source: &mut bytes::BytesMut) -> Result<Option<Chunk>, h1::Error> {
-    match httparse::parse_chunk_size(source) {
-        Ok(httparse::Status::Complete((used, size))) => {
-            source.advance(used);
-            let size =
-                usize::try_from(size).map_err(|_| h1::Error::Malformed("invalid chunk size"))?;
-            Ok(Some(if size == 0 {
-                Chunk::Trailers
-            } else {
-                Chunk::Data(size)
-            }))
+    fn read_size(&mut self, source: &mut bytes::BytesMut) -> Result<Option<Chunk>, h1::Error> {
+        let Some(attempt) = self.scan.next(source, self.lines_limit)? else {
+            return Ok(None);
+        };
+        let (used, size) = match httparse::parse_chunk_size(source) {
+            Ok(httparse::Status::Complete(read)) => read,
+            Ok(httparse::Status::Partial) if !attempt.complete => return Ok(None),
+            _ => return Err(h1::Error::Malformed("invalid chunk size")),
+        };
+        source.advance(used);
+        let size = usize::try_from(size);
+        let size = size.map_err(|_| h1::Error::Malformed("invalid chunk size"))?;
+        let (next, kind) = match size {
+            0 => (Chunk::Trailers, scan::Kind::Trailers),
+            _ => (Chunk::Data(size), scan::Kind::Line),
+        };
+        self.scan = scan::Scan::new(kind);
+        Ok(Some(next))
+    }
+
+    /// Skips the trailers. Returns whether they are complete.
+    fn skip_trailers(&mut self, source: &mut bytes::BytesMut) -> Result<bool, h1::Error> {
+        let Some(attempt) = self.scan.next(source, self.lines_limit)? else {
+            return Ok(false);
+        };
+        let mut headers = attempt.headers();
+        match httparse::parse_headers(source, &mut headers) {
+            Ok(httparse::Status::Complete((used, _))) => {
+                source.advance(used);
+                Ok(true)
+            }
+            Ok(httparse::Status::Partial) if !attempt.complete => Ok(false),
+            _ => Err(h1::Error::Malformed("trailers")),
         }
-        Ok(httparse::Status::Partial) if source.len() <= MAX_SIZE_LINE => Ok(None),
-        _ => Err(h1::Error::Malformed("invalid chunk size")),
     }
 }
 
@@ -178,16 +200,3 @@
     source.advance(2);
     Ok(Some(Chunk::Size))
 }
-
-/// Skips the trailers. Returns whether they are complete.
-fn skip_trailers(source: &mut bytes::BytesMut) -> Result<bool, h1::Error> {
-    let mut headers = [httparse::EMPTY_HEADER; 16];
-    match httparse::parse_headers(source, &mut headers) {
-        Ok(httparse::Status::Complete((used, _))) => {
-            source.advance(used);
-            Ok(true)
-        }
-        Ok(httparse::Status::Partial) if source.len() <= MAX_TRAILERS => Ok(false),
-        _ => Err(h1::Error::Malformed("trailers")),
-    }
-}
--- a/crates/geraniumgauge/src/h1/head.rs
+++ b/crates/geraniumgauge/src/h1/head.rs
@@ -1,5 +1,7 @@
 //! Parsing and writing of headers that requests and replies have in common.
 
+use std::collections;
+
 use crate::h1;
 
 /// Hop-by-hop headers, which concern one connection and are never passed on.
@@ -17,7 +19,7 @@
 
 /// The body framing and connection options that a head states.
 #[derive(Debug, Default)]
-pub(super) struct Framing<'h> {
+pub(super) struct Framing {
     /// The content length.
     pub(super) length: Option<usize>,
     /// Whether the body is in chunks.
@@ -26,18 +28,18 @@
     pub(super) close: bool,
     /// Whether `Connection` contains `keep-alive`.
     pub(super) keep_alive: bool,
-    /// Headers named in `Connection`, which are hop-by-hop as well.
-    connection_headers: Vec<&'h str>,
+    /// Headers named in `Connection`, which are hop-by-hop as well, in lower case.
+    connection_headers: collections::HashSet<String>,
 }
 
-impl<'h> Framing<'h> {
+impl Framing {
     /// Parses the headers that concern the framing and the connection.
     ///
     /// # Errors
     /// If the message's end is ambiguous: two different lengths, both a length and a
     /// transfer coding, or a coding other than chunked. Passed on, such a message
     /// could smuggle a second one.
-    pub(super) fn parse(headers: &[httparse::Header<'h>]) -> Result<Self, h1::Error> {
+    pub(super) fn parse(headers: &[httparse::Header<'_>]) -> Result<Self, h1::Error> {
         let mut framing = Self::default();
         for header in headers {
             if header.name.eq_ignore_ascii_case("content-length") {
@@ -60,7 +62,12 @@
         let same = |other: &&str| name.eq_ignore_ascii_case(other);
         !HOP_BY_HOP.iter().any(same)
             && !name.eq_ignore_ascii_case("content-length")
-            && !self.connection_headers.iter().any(same)
+            && !self.is_connection_header(name)
+    }
+
+    fn is_connection_header(&self, name: &str) -> bool {
+        !self.connection_headers.is_empty()
+            && self.connection_headers.contains(&name.to_ascii_lowercase())
     }
 
     fn add_length(&mut self, value: &[u8]) -> Result<(), h1::Error> {
@@ -83,14 +90,14 @@
         Ok(())
     }
 
-    fn add_connection(&mut self, value: &'h [u8]) -> Result<(), h1::Error> {
+    fn add_connection(&mut self, value: &[u8]) -> Result<(), h1::Error> {
         for token in text(value)?.split(',').map(str::trim) {
             if token.eq_ignore_ascii_case("close") {
                 self.close = true;
             } else if token.eq_ignore_ascii_case("keep-alive") {
                 self.keep_alive = true;
             } else if !token.is_empty() {
-                self.connection_headers.push(token);
+                self.connection_headers.insert(token.to_ascii_lowercase());
             }
         }
         Ok(())
--- a/crates/geraniumgauge/src/h1/mod.rs
+++ b/crates/geraniumgauge/src/h1/mod.rs
@@ -10,6 +10,7 @@
 mod head;
 mod reply;
 mod request;
+mod scan;
 
 pub use body::Body;
 pub use client::Client;
@@ -21,10 +22,6 @@
 
 use crate::rate;
 
-/// Maximum number of headers in a message, more than any client sends. A head with
-/// more is refused as too large.
-pub const MAX_HEADERS: usize = 64;
-
 /// Names of the headers with a meaning to the gateway, in lower case.
 #[derive(Debug, Clone, Copy)]
 pub struct Names {
@@ -50,7 +47,7 @@
 #[derive(Debug)]
 #[derive(derive_more::Display, derive_more::Error)]
 pub enum Error {
-    /// The head is larger than allowed, or has too many headers.
+    /// The head, the trailers or the line of a chunk's size are larger than allowed.
     #[display("the head is larger than {_0}")]
     #[error(ignore)]
     HeadTooLarge(rate::Bytes),
--- a/crates/geraniumgauge/src/h1/reply.rs
+++ b/crates/geraniumgauge/src/h1/reply.rs
@@ -6,6 +6,7 @@
 
 use crate::h1;
 use crate::h1::head;
+use crate::h1::scan;
 use crate::rate;
 
 /// A complete reply.
@@ -66,6 +67,7 @@
     limit: rate::Bytes,
     /// Whether the call's method was HEAD, so that the reply has no body.
     head_only: bool,
+    scan: scan::Scan,
     reading: Option<(Reply, h1::Body)>,
 }
 
@@ -76,6 +78,7 @@
             names,
             limit,
             head_only: false,
+            scan: scan::Scan::new(scan::Kind::Head),
             reading: None,
         }
     }
@@ -87,16 +90,17 @@
 
     /// Consumes a head from `source`; `None` if it isn't complete yet.
     fn read_head(
-        &self,
+        &mut self,
         source: &mut bytes::BytesMut,
     ) -> Result<Option<(Reply, h1::Body)>, h1::Error> {
-        let mut headers = [httparse::EMPTY_HEADER; h1::MAX_HEADERS];
+        let Some(attempt) = self.scan.next(source, self.limit)? else {
+            return Ok(None);
+        };
+        let mut headers = attempt.headers();
         let mut parsed = httparse::Response::new(&mut headers);
         let used = match parsed.parse(source) {
             Ok(httparse::Status::Complete(used)) => used,
-            Ok(httparse::Status::Partial) if (source.len() as u64) < self.limit.0 => {
-                return Ok(None);
-            }
+            Ok(httparse::Status::Partial) if !attempt.complete => return Ok(None),
             _ => return Err(h1::Error::Malformed("invalid reply head")),
         };
         let framing = head::Framing::parse(parsed.headers)?;
@@ -117,6 +121,7 @@
         }
         let body = self.body(&mut reply, &framing)?;
         bytes::Buf::advance(source, used);
+        self.scan = scan::Scan::new(scan::Kind::Head);
         Ok(Some((reply, body)))
     }
 
@@ -125,7 +130,7 @@
         &self,
         reply: &mut Reply,
         header: &httparse::Header<'_>,
-        framing: &head::Framing<'_>,
+        framing: &head::Framing,
     ) -> Result<(), h1::Error> {
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is(self.names.request_id) {
@@ -148,13 +153,13 @@
     }
 
     /// Creates the decoder of the reply's body.
-    fn body(&self, reply: &mut Reply, framing: &head::Framing<'_>) -> Result<h1::Body, h1::Error> {
+    fn body(&self, reply: &mut Reply, framing: &head::Framing) -> Result<h1::Body, h1::Error> {
         let bodiless = self.head_only || reply.status < 200 || matches!(reply.status, 204 | 304);
         if bodiless {
             return h1::Body::sized(0, self.limit);
         }
         if framing.chunked {
-            return Ok(h1::Body::chunked(self.limit));
+            return Ok(h1::Body::chunked(self.limit, self.limit));
         }
         if let Some(length) = framing.length {
             return h1::Body::sized(length, self.limit);
--- a/crates/geraniumgauge/src/h1/request.rs
+++ b/crates/geraniumgauge/src/h1/request.rs
@@ -6,6 +6,7 @@
 
 use crate::h1;
 use crate::h1::head;
+use crate::h1::scan;
 use crate::rate;
 
 /// A caller's complete request.
@@ -38,6 +39,7 @@
     names: h1::Names,
     head_limit: rate::Bytes,
     body_limit: rate::Bytes,
+    scan: scan::Scan,
     reading: Option<Reading>,
 }
 
@@ -57,6 +59,7 @@
             names,
             head_limit,
             body_limit,
+            scan: scan::Scan::new(scan::Kind::Head),
             reading: None,
         }
     }
@@ -80,24 +83,20 @@
     }
 
     /// Consumes a head from `source`; `None` if it isn't complete yet.
-    fn read_head(&self, source: &mut bytes::BytesMut) -> Result<Option<Reading>, h1::Error> {
-        let mut headers = [httparse::EMPTY_HEADER; h1::MAX_HEADERS];
+    fn read_head(&mut self, source: &mut bytes::BytesMut) -> Result<Option<Reading>, h1::Error> {
+        let Some(attempt) = self.scan.next(source, self.head_limit)? else {
+            return Ok(None);
+        };
+        let mut headers = attempt.headers();
         let mut parsed = httparse::Request::new(&mut headers);
         let used = match parsed.parse(source) {
             Ok(httparse::Status::Complete(used)) => used,
-            Ok(httparse::Status::Partial) if source.len() as u64 <= self.head_limit.0 => {
-                return Ok(None);
-            }
-            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-                return Err(h1::Error::HeadTooLarge(self.head_limit));
-            }
-            Err(_) => return Err(h1::Error::Malformed("invalid request head")),
+            Ok(httparse::Status::Partial) if !attempt.complete => return Ok(None),
+            _ => return Err(h1::Error::Malformed("invalid request head")),
         };
-        if used as u64 > self.head_limit.0 {
-            return Err(h1::Error::HeadTooLarge(self.head_limit));
-        }
         let reading = self.build(&parsed)?;
         bytes::Buf::advance(source, used);
+        self.scan = scan::Scan::new(scan::Kind::Head);
         Ok(Some(reading))
     }
 
@@ -127,7 +126,7 @@
         }
         let body = match framing.length {
             Some(length) => h1::Body::sized(length, self.body_limit)?,
-            None if framing.chunked => h1::Body::chunked(self.body_limit),
+            None if framing.chunked => h1::Body::chunked(self.body_limit, self.head_limit),
             None => h1::Body::sized(0, self.body_limit)?,
         };
         Ok(Reading {
@@ -143,7 +142,7 @@
         &self,
         request: &mut Request,
         header: &httparse::Header<'_>,
-        framing: &head::Framing<'_>,
+        framing: &head::Framing,
     ) -> Result<bool, h1::Error> {
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is("expect") {
--- a/crates/geraniumgauge/src/h1/tests.rs
+++ b/crates/geraniumgauge/src/h1/tests.rs
@@ -77,6 +77,84 @@
     assert!(matches!(decode_request(broken), Err(Error::Malformed(_))));
 }
 
+/// Returns `count` headers of five bytes each.
+fn tiny_headers(count: usize) -> String {
+    "a:b\r\n".repeat(count)
+}
+
+/// Guards against a request that is refused since it has many headers, though all of them
+/// together are within the limit.
+#[test]
+fn headers_are_limited_by_their_bytes_alone() {
+    let request = |count| format!("GET / HTTP/1.1\r\nHost: x\r\n{}\r\n", tiny_headers(count));
+    let allowed = request(199);
+    assert_eq!(allowed.len(), 1022);
+    let decoded = decode_request(&allowed).expect("within the limit");
+    let head = decoded.expect("whole").head;
+    assert_eq!(head.split(|byte| *byte == b'\n').count(), 2 + 199 + 1);
+    let refused = decode_request(&request(200));
+    assert!(matches!(refused, Err(Error::HeadTooLarge(_))));
+}
+
+/// Guards against an upstream's answer that is lost since it has many headers.
+#[test]
+fn a_reply_may_have_many_headers() {
+    let text = format!("HTTP/1.1 200 OK\r\n{}\r\n", tiny_headers(2000));
+    let reply = decode_replies(text.as_bytes(), 100).pop().expect("a reply");
+    let lines = reply.headers.iter().filter(|byte| **byte == b'\n');
+    assert_eq!(lines.count(), 2000);
+}
+
+/// Guards against a request in chunks that is refused since it has many trailers, or long
+/// extensions, which the operator's limit allows.
+#[test]
+fn trailers_and_extensions_are_limited_as_headers_are() {
+    let request = |extension: usize, trailers| {
+        format!(
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;{}\r\na\r\n0\r\n{}\r\n",
+            "e".repeat(extension),
+            tiny_headers(trailers)
+        )
+    };
+    let decoded = decode_request(&request(1000, 200)).expect("within the limits");
+    assert_eq!(decoded.expect("whole").body.as_ref(), b"a");
+    for text in [request(1024, 0), request(0, 205)] {
+        let refused = decode_request(&text);
+        assert!(matches!(refused, Err(Error::HeadTooLarge(_))));
+    }
+}
+
+/// Guards against a head that takes time in proportion to the square of its length, as it
+/// arrives in small pieces and is parsed from its beginning for each of them.
+#[test]
+fn a_head_in_small_pieces_is_parsed_a_few_times() {
+    let text = format!("GET / HTTP/1.1\r\n{}\r\n", tiny_headers(1000));
+    let mut scan = scan::Scan::new(scan::Kind::Head);
+    let limit = rate::Bytes(1 << 16);
+    let attempts = (1..=text.len()).filter_map(|len| {
+        let attempt = scan.next(&text.as_bytes()[..len], limit);
+        attempt.expect("within the limit")
+    });
+    let attempts: Vec<scan::Attempt> = attempts.collect();
+    // The length doubles from 1 to 5018 bytes, the last time less than twice.
+    assert_eq!(attempts.len(), 14);
+    assert!(
+        attempts
+            .iter()
+            .rev()
+            .skip(1)
+            .all(|attempt| !attempt.complete)
+    );
+}
+
+/// Guards against a call that waits for the rest of bytes that can't become a reply.
+#[test]
+fn bytes_that_arent_a_reply_are_refused_before_their_end() {
+    let mut codec = ReplyCodec::new(NAMES, rate::Bytes(1 << 16));
+    let mut buffer = bytes::BytesMut::from("not a reply");
+    assert!(codec.decode(&mut buffer).is_err());
+}
+
 /// Decodes the replies in `text`, received in pieces of `step` bytes.
 fn decode_replies(text: &[u8], step: usize) -> Vec<Reply> {
     let mut codec = ReplyCodec::new(NAMES, rate::Bytes(1 << 16));
