Requests keep to the limits of the newest configuration

What callers saw: 431 or 413 for a request within the limits, on a connection that was idle when a configuration raised them.

Cause: the limits were asked for once a request had been answered, before the wait for the next one, which may last for the whole idle timeout.

Change: they are asked for with all bytes that arrive, until a head is complete.

Test: an_idle_connection_gets_the_limits_of_a_newer_configuration, which got 431 before.

--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -101,13 +101,11 @@
 
     /// Reads the next request.
     async fn next(&mut self) -> Next {
-        let limits = self
-            .engine
-            .table()
-            .map_or(INITIAL_LIMITS, |table| table.limits());
-        self.codec.limit(limits.max_head, limits.max_body);
         let mut began = None;
         loop {
+            // A configuration may have come while the connection was idle.
+            let limits = self.limits();
+            self.codec.limit(limits.max_head, limits.max_body);
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(request)) => return Next::Request(request),
                 Ok(None) => {}
@@ -133,6 +131,12 @@
         }
     }
 
+    /// Returns the limits in force.
+    fn limits(&self) -> route::Limits {
+        let table = self.engine.table();
+        table.map_or(INITIAL_LIMITS, |table| table.limits())
+    }
+
     /// Sends `100 Continue`, for which the caller waits before sending the body.
     async fn send_continue(&mut self) -> std::io::Result<()> {
         self.stream
--- /dev/null
+++ b/crates/geraniumgauge/src/edge/tests/caller.rs
@@ -0,0 +1,89 @@
+//! Requests of callers and the limits in force.
+
+use std::collections;
+use std::time;
+
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+
+use crate::edge;
+use crate::edge::caller;
+use crate::edge::tests::state as world;
+use crate::forward;
+use crate::ids;
+use crate::metrics;
+use crate::rate;
+use crate::route;
+use crate::time as clock;
+
+/// Size of a head that is over the limits until there is a configuration.
+const LONG_HEAD_BYTES: usize = 20 << 10;
+
+fn engine() -> edge::Engine {
+    let own = forward::LocalVm {
+        data_centre: "a".parse().expect("a name"),
+    };
+    let fleet = forward::Fleet::new(own, forward::Policy::default());
+    let relays = forward::Relays::new("a".parse().expect("a name"), 0.12);
+    let metrics = metrics::Metrics::new().expect("metrics");
+    let instruments = edge::Instruments::new(&metrics.meter());
+    edge::Engine::new(
+        fleet,
+        relays,
+        world::NAMES,
+        clock::Clock::start(),
+        instruments,
+    )
+}
+
+/// Returns a configuration without routes.
+fn config(version: u64, max_head: rate::Bytes) -> route::Config {
+    route::Config {
+        version: ids::Generation(version),
+        routes: Vec::new(),
+        services: collections::BTreeMap::new(),
+        limits: route::Limits {
+            max_head,
+            max_body: rate::Bytes(1024),
+            head_timeout: time::Duration::from_secs(3),
+            idle_timeout: time::Duration::from_secs(15),
+        },
+    }
+}
+
+/// Opens a connection that the engine serves.
+async fn connect(engine: &edge::Engine) -> tokio::net::TcpStream {
+    let (ours, callers) = world::ends().await;
+    let connection = caller::Connection::new(engine.clone(), ours);
+    tokio::task::spawn_local(connection.run());
+    callers
+}
+
+/// Sends a request with a head of this size and returns the status of its answer, which has no body.
+async fn status_of(stream: &mut tokio::net::TcpStream, head_bytes: usize) -> String {
+    let head = "GET / HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r\r\nX-Long: ";
+    let filling = "a".repeat(head_bytes.saturating_sub(head.len() + 4));
+    let request = format!("{head}{filling}\r\n\r\n");
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("an open connection");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        answer.push(stream.read_u8().await.expect("an answer"));
+    }
+    String::from_utf8_lossy(&answer[9..12]).into_owned()
+}
+
+/// Guards against a request that is refused by the limits of an older configuration, which was
+/// in force when its connection fell idle.
+#[test]
+fn an_idle_connection_gets_the_limits_of_a_newer_configuration() {
+    world::run(async {
+        let engine = engine();
+        engine.set_registrations_listed();
+        engine.configure(config(1, rate::Bytes(1024)));
+        let mut stream = connect(&engine).await;
+        assert_eq!(status_of(&mut stream, 512).await, "404");
+        engine.configure(config(2, rate::Bytes(64 << 10)));
+        assert_eq!(status_of(&mut stream, LONG_HEAD_BYTES).await, "404");
+    });
+}
--- a/crates/geraniumgauge/src/edge/tests/mod.rs
+++ b/crates/geraniumgauge/src/edge/tests/mod.rs
@@ -1,3 +1,4 @@
+mod caller;
 mod given_up;
 mod handover;
 mod identity;
--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -19,7 +19,7 @@
 use crate::route;
 use crate::time as clock;
 
-const NAMES: h1::Names = h1::Names {
+pub(super) const NAMES: h1::Names = h1::Names {
     request_id: "x-request-id",
     time_left: "x-time-left",
     only_upstream: "x-only",
