Without a configuration, large requests aren't refused for good

What callers saw: 431 or 413, which they don't repeat, for a request that each configuration allows, from a VM that had just started.

Cause: until the first configuration the VM keeps to limits of its own, and refused by them as if an operator had set them.

Change: such a request gets 503 with Retry-After, as all others do then. It hasn't run, since the VM doesn't read it, and another VM may allow it.

Test: a_vm_without_a_configuration_doesnt_refuse_for_good_what_is_large, which got 431 before.

--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -290,6 +290,16 @@
     /// Returns the answer to an invalid request.
     fn refuse(&self, error: &h1::Error) -> answer::Answer {
         log::info!(error:% = error; "refused: invalid request");
+        let too_large = matches!(
+            error,
+            h1::Error::HeadTooLarge(_) | h1::Error::BodyTooLarge(_)
+        );
+        if too_large && self.engine.table().is_none() {
+            // The configuration may allow it.
+            return self
+                .answer("", true)
+                .not_run(503, answer::STARTING_RETRY_AFTER);
+        }
         let status = match error {
             h1::Error::HeadTooLarge(_) => 431,
             h1::Error::BodyTooLarge(_) => 413,
--- a/crates/geraniumgauge/src/edge/tests/caller.rs
+++ b/crates/geraniumgauge/src/edge/tests/caller.rs
@@ -87,3 +87,13 @@
         assert_eq!(status_of(&mut stream, LONG_HEAD_BYTES).await, "404");
     });
 }
+
+/// Guards against a refusal for good by a VM that knows no configuration, though each one
+/// allows the request.
+#[test]
+fn a_vm_without_a_configuration_doesnt_refuse_for_good_what_is_large() {
+    world::run(async {
+        let mut stream = connect(&engine()).await;
+        assert_eq!(status_of(&mut stream, LONG_HEAD_BYTES).await, "503");
+    });
+}
