A message to a VM that can't be queued ends the connection

What callers saw: nothing yet; found by reading. A search waits for a part, or a single request for its extra call, until its deadline, though the relay has the end; replicas work on for callers that have left.

Cause: a report or an abandonment is dropped if more than 1 MiB waits for the other VM, which reads slowly. The code took that for a failed connection, whose reader would tell; the connection lives on.

Change: it is ended in both directions. The other side counts the calls as lost or abandons them, as it does with any connection that ends.

--- a/crates/geraniumgauge/src/edge/sender.rs
+++ b/crates/geraniumgauge/src/edge/sender.rs
@@ -50,10 +50,12 @@
     /// If none of the bytes were sent, nor will be.
     pub(super) fn send(&self, bytes: &[u8]) -> io::Result<()> {
         let mut queue = self.queue.borrow_mut();
-        let full = !queue.bytes.is_empty() && queue.bytes.len() + bytes.len() > MAX_QUEUED_BYTES;
-        if queue.failed || full {
+        if queue.failed {
             return Err(io::ErrorKind::BrokenPipe.into());
         }
+        if !queue.bytes.is_empty() && queue.bytes.len() + bytes.len() > MAX_QUEUED_BYTES {
+            return Err(io::Error::other("too many unsent bytes"));
+        }
         if queue.writing {
             queue.bytes.extend_from_slice(bytes);
             return Ok(());
@@ -88,6 +90,15 @@
         socket.shutdown(net::Shutdown::Write)
     }
 
+    /// Ends the connection in both directions, so that the tasks that read it on either side
+    /// notice. Queued bytes aren't written.
+    pub(super) fn end(&self) {
+        self.queue.borrow_mut().failed = true;
+        let socket = socket2::SockRef::from((*self.writer).as_ref());
+        // Fails only if the connection has ended already.
+        let _ = socket.shutdown(net::Shutdown::Both);
+    }
+
     /// Returns whether queued bytes are still being written.
     pub(super) fn is_writing(&self) -> bool {
         self.queue.borrow().writing
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -216,10 +216,15 @@
         for (address, abandon) in by_relay {
             let bytes = frame::Frame::bytes(frame::Kind::Abandon(abandon));
             let sender = self.peers.outgoing.get(&address);
-            if sender.is_none_or(|sender| sender.send(&bytes).is_err()) {
-                // The relay abandons the calls when it sees that the connection has failed.
-                self.relay_unreachable(address, now);
+            if sender.is_some_and(|sender| sender.send(&bytes).is_ok()) {
+                continue;
+            }
+            // The relay abandons the calls when it sees that the connection has ended.
+            if let Some(sender) = sender {
+                log::info!(vm:% = address; "calls not abandoned; connection to VM ended");
+                sender.end();
             }
+            self.relay_unreachable(address, now);
         }
     }
 }
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -444,13 +444,19 @@
         senders.filter(|sender| sender.is_writing()).count()
     }
 
-    /// Sends a message over an incoming VM connection.
+    /// Sends a message over an incoming VM connection. If that isn't possible, ends the
+    /// connection: the other VM would wait for the message until its requests' deadlines.
     pub(in crate::edge) fn send_to(&mut self, peer: u64, kind: frame::Kind) {
         let bytes = frame::Frame::bytes(kind);
-        let sender = self.peers.incoming.get(&peer);
-        if sender.is_some_and(|sender| sender.send(&bytes).is_err()) {
-            // The task that reads the connection sees its end and abandons its calls.
-            log::info!(peer = peer; "message to VM not sent");
+        let Some(sender) = self.peers.incoming.get(&peer) else {
+            return;
+        };
+        if let Err(error) = sender.send(&bytes) {
+            log::info!(
+                peer = peer, bytes = bytes.len(), error:% = error;
+                "message to VM not sent; connection ended"
+            );
+            sender.end();
         }
     }
 }
--- a/crates/geraniumgauge/src/edge/tests/peers.rs
+++ b/crates/geraniumgauge/src/edge/tests/peers.rs
@@ -3,8 +3,11 @@
 use std::io;
 use std::time;
 
+use tokio::io::AsyncReadExt as _;
+
 use crate::edge::frame;
 use crate::edge::peers;
+use crate::edge::tests::state as world;
 use crate::slow_sender;
 use crate::spread;
 use crate::spread::tests::messages;
@@ -41,3 +44,25 @@
     let error = answer.expect_err("half an answer");
     assert_eq!(error.kind(), io::ErrorKind::TimedOut);
 }
+
+/// Guards against a requester that waits for a call until its deadline: the relay can't queue
+/// the report of its end, as the requester reads too slowly, and drops it.
+#[test]
+fn a_report_that_cant_be_queued_ends_the_connection() {
+    world::run(async {
+        let mut state = world::small_vm(world::address(9), 1);
+        let (sender, mut requester) = world::connection().await;
+        let peer = state.peer_accepted(sender);
+        let report = frame::Report {
+            records: vec![7; 1 << 20].into(),
+            ..frame::Report::default()
+        };
+        for _ in 0..64 {
+            state.send_to(peer, frame::Kind::Report(report.clone()));
+        }
+        let mut received = Vec::new();
+        let read = requester.read_to_end(&mut received);
+        let ended = tokio::time::timeout(time::Duration::from_secs(60), read).await;
+        assert!(ended.is_ok(), "the connection is still open");
+    });
+}
