Frames between VMs hold the largest reply; larger requests aren't relayed

What callers saw: nothing yet; found by reading. 502 or another call for a reply of 3 to 8 MiB that a relay has got, though a VM passes it on itself; all calls at a relay lost where head and body together exceed a frame.

Cause: frames had 4 MiB, bodies in them 3 MiB, heads no limit.

Change: a frame holds the largest head and body of a reply. Whether a request is relayed follows from the size of its frame.

Tests: the_largest_reply_fits_into_a_frame fails with the size before, a_request_that_fits_into_no_frame_isnt_sent_to_a_relay without the check.

--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -13,18 +13,16 @@
 
 use prost::Message as _;
 
+use crate::edge::link;
 use crate::forward;
 use crate::h1;
 use crate::ids;
 use crate::registry;
 use crate::spread::wire;
 
-/// Largest frame in bytes. The merged replies of a search hold only its top
-/// records, so they fit.
-pub(super) const MAX_FRAME_LEN: usize = 4 << 20;
-/// Largest body in bytes of a request or a reply in a frame. Leaves room for what else the
-/// frame contains, such as the largest head.
-pub(super) const MAX_BODY_LEN: usize = MAX_FRAME_LEN - (1 << 20);
+/// Largest frame in bytes: the largest reply, and what a report has beside it. The merged
+/// replies of a search hold only its top records, so they fit.
+pub(super) const MAX_FRAME_LEN: usize = 2 * link::MAX_REPLY.0 as usize + (1 << 20);
 /// Size in bytes of the length prefix of a frame.
 const LENGTH_PREFIX: usize = 4;
 
@@ -317,14 +315,14 @@
 }
 
 impl Reply {
-    /// Encodes the reply to `call`; `None` if it is too large for a frame.
-    pub(super) fn new(call: u64, reply: h1::Reply) -> Option<Self> {
-        (reply.body.len() <= MAX_BODY_LEN).then(|| Self {
+    /// Encodes the reply to `call`.
+    pub(super) fn new(call: u64, reply: h1::Reply) -> Self {
+        Self {
             call,
             status: reply.status.into(),
             headers: reply.headers.into(),
             body: reply.body,
-        })
+        }
     }
 
     /// Decodes the reply; `None` if its status is invalid.
@@ -434,6 +432,11 @@
 }
 
 impl Frame {
+    /// Returns whether encoded bytes are more than the other VM reads.
+    pub(super) fn is_too_large(bytes: &[u8]) -> bool {
+        bytes.len() - LENGTH_PREFIX > MAX_FRAME_LEN
+    }
+
     /// Encodes a message with its length prefix.
     pub(super) fn bytes(kind: Kind) -> bytes::Bytes {
         let frame = Self { kind: Some(kind) };
--- a/crates/geraniumgauge/src/edge/link.rs
+++ b/crates/geraniumgauge/src/edge/link.rs
@@ -18,9 +18,9 @@
 /// Timeout of connecting to an upstream or a VM. A host that is powered off never
 /// refuses a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-/// Largest reply that is passed on. Replies are buffered whole, so that a truncated
-/// one never looks complete.
-const MAX_REPLY: rate::Bytes = rate::Bytes(8 << 20);
+/// Largest head and largest body of a reply that is passed on. Replies are buffered whole, so
+/// that a truncated one never looks complete.
+pub(super) const MAX_REPLY: rate::Bytes = rate::Bytes(8 << 20);
 /// How long sent bytes may stay unacknowledged before the connection fails. A
 /// connection may stay dead while new ones to the same host work.
 pub(super) const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -171,7 +171,7 @@
     }
 }
 
-fn frame_codec() -> codec::LengthDelimitedCodec {
+pub(super) fn frame_codec() -> codec::LengthDelimitedCodec {
     codec::LengthDelimitedCodec::builder()
         .max_frame_length(frame::MAX_FRAME_LEN)
         .new_codec()
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -120,9 +120,6 @@
             return Vec::new();
         };
         let message = running.message.clone();
-        if message.body.len() > frame::MAX_BODY_LEN {
-            return sends;
-        }
         let call_time = running.job.latency().median();
         let merge_after = group.merge_after(&running.job);
         let with_address = self.relays.needs_addresses(address, now);
@@ -149,6 +146,9 @@
             whole_replies: !message.sharded,
         };
         let bytes = frame::Frame::bytes(frame::Kind::Batch(batch));
+        if frame::Frame::is_too_large(&bytes) {
+            return sends;
+        }
         let sender = self.peers.outgoing.get(&address);
         if sender.is_none_or(|sender| sender.send(&bytes).is_err()) {
             return sends;
--- a/crates/geraniumgauge/src/edge/state/serve.rs
+++ b/crates/geraniumgauge/src/edge/state/serve.rs
@@ -336,17 +336,16 @@
     }
 
     /// Reports the end of a call with the upstream's whole reply.
-    fn report_whole(&mut self, id: u64, mut end: frame::End, reply: h1::Reply) {
+    fn report_whole(&mut self, id: u64, end: frame::End, reply: h1::Reply) {
         let Some(batch) = self.peers.batches.get(&id) else {
             return;
         };
         let (peer, last) = (batch.peer, batch.pending.is_empty());
-        let mut report = frame::Report::default();
-        match frame::Reply::new(end.id, reply) {
-            Some(reply) => report.replies.push(reply),
-            None => end.how = frame::How::Lost.into(),
-        }
-        report.ends.push(end);
+        let report = frame::Report {
+            replies: vec![frame::Reply::new(end.id, reply)],
+            ends: vec![end],
+            ..frame::Report::default()
+        };
         self.send_report(peer, report);
         if last {
             self.peers.batches.remove(&id);
--- a/crates/geraniumgauge/src/edge/tests/peers.rs
+++ b/crates/geraniumgauge/src/edge/tests/peers.rs
@@ -4,10 +4,13 @@
 use std::time;
 
 use tokio::io::AsyncReadExt as _;
+use tokio_util::codec::Decoder as _;
 
 use crate::edge::frame;
+use crate::edge::link;
 use crate::edge::peers;
 use crate::edge::tests::state as world;
+use crate::h1;
 use crate::slow_sender;
 use crate::spread;
 use crate::spread::tests::messages;
@@ -66,3 +69,43 @@
         assert!(ended.is_ok(), "the connection is still open");
     });
 }
+
+/// Guards against a call that counts as lost, though its upstream has answered: the reply, which
+/// a VM reads, is too large for a relay to pass on.
+#[test]
+fn the_largest_reply_fits_into_a_frame() {
+    let largest = link::MAX_REPLY.0 as usize;
+    let reply = h1::Reply::whole(200, vec![b'h'; largest], vec![b'b'; largest].into());
+    let report = frame::Report {
+        ends: vec![frame::End::new(u64::MAX, frame::How::Good)],
+        replies: vec![frame::Reply::new(u64::MAX, reply)],
+        ..frame::Report::default()
+    };
+    let bytes = frame::Frame::bytes(frame::Kind::Report(report));
+    assert!(!frame::Frame::is_too_large(&bytes));
+    let mut buffer = bytes::BytesMut::from(bytes.as_ref());
+    let decoded = peers::frame_codec().decode(&mut buffer);
+    assert!(decoded.expect("a frame").is_some());
+}
+
+/// Guards against the loss of all calls at a relay: a request whose head and body together are
+/// too large for a frame makes the relay close the connection.
+#[test]
+fn a_request_that_fits_into_no_frame_isnt_sent_to_a_relay() {
+    world::run(async {
+        let relay = world::address(9);
+        let mut state = world::small_vm(relay, 2);
+        let (sender, other) = world::connection().await;
+        state.peer_connected(relay, sender, world::NOW);
+        let (entry, mut request) = world::single();
+        request.head = vec![b'h'; frame::MAX_FRAME_LEN / 2];
+        request.body = vec![b'b'; frame::MAX_FRAME_LEN / 2].into();
+        // The relay would pay for the second call.
+        world::lose_first_call_of(&mut state, entry, request).await;
+        let sent = other.try_read(&mut [0; 1]);
+        assert_eq!(
+            sent.expect_err("nothing is sent").kind(),
+            io::ErrorKind::WouldBlock
+        );
+    });
+}
--- a/crates/geraniumgauge/src/edge/tests/state.rs
+++ b/crates/geraniumgauge/src/edge/tests/state.rs
@@ -94,7 +94,7 @@
 }
 
 /// Returns a request to one upstream of service `s`.
-fn single() -> (rc::Rc<route::table::Entry>, h1::Request) {
+pub(super) fn single() -> (rc::Rc<route::table::Entry>, h1::Request) {
     request(single_target(), route::Repeat::Idempotent)
 }
 
@@ -197,6 +197,15 @@
 /// Starts a request to one upstream, whose first call fails without a reply. Returns its id.
 async fn lose_first_call(state: &mut state::State) -> u64 {
     let (entry, request) = single();
+    lose_first_call_of(state, entry, request).await
+}
+
+/// Starts a request, whose first call fails without a reply. Returns its id.
+pub(super) async fn lose_first_call_of(
+    state: &mut state::State,
+    entry: rc::Rc<route::table::Entry>,
+    request: h1::Request,
+) -> u64 {
     let id = state.submit(entry, request, rc::Rc::default(), NOW);
     let first = match state.effects.pop() {
         Some(state::Effect::Open { link, .. }) => link,
