Replies to geraniumgauged may have many headers; its callers' limit is listed

What callers saw: a shard missing, or an unknown outcome, for an upstream's reply with more than 100 headers, though the call ran.

Cause: the HTTP client's own limit of 100 headers.

Change: the client is set to 4,096, for which it reserves room for the time of parsing. rocket has the same limit for callers' requests, and no setting: http::tests::headers_are_limited_by_their_bytes_alone fails and is listed.

Tests: upstream::tests::a_reply_may_have_many_headers, lost before. a_reply_that_is_reset_during_a_long_call_isnt_whole passed before, too: the client gives up at the first error of either direction (100 of 100 resets).

--- a/crates/geraniumgauge/src/http/tests.rs
+++ b/crates/geraniumgauge/src/http/tests.rs
@@ -196,6 +196,19 @@
     );
 }
 
+/// Guards against a request that is refused since it has many headers, though all of them
+/// together are within the limit.
+#[tokio::test]
+async fn headers_are_limited_by_their_bytes_alone() {
+    let site = site(Limits::default()).await;
+    let mut request = site.client.post(site.url(SEARCH));
+    for number in 0..150 {
+        request = request.header(format!("x-note-{number}"), "a");
+    }
+    let (status, _) = read(request.body("{\"query\": 1}")).await;
+    assert_eq!(status, 200);
+}
+
 /// When a query makes a handler panic, its caller gets an error, and the next
 /// request is answered as usual.
 #[tokio::test]
--- a/crates/geraniumgauge/src/upstream/connection.rs
+++ b/crates/geraniumgauge/src/upstream/connection.rs
@@ -20,6 +20,9 @@
 /// then has to wait, so that the pooled connection is used instead.
 const SECOND_CONNECT_DELAY: time::Duration = time::Duration::from_millis(5);
 
+/// Maximum number of headers in a reply. The client reserves room for as many while it parses.
+const MAX_REPLY_HEADERS: usize = 4096;
+
 /// Limits of one connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -93,6 +96,7 @@
     pub fn new(upstream: &layout::Upstream, limits: Limits) -> Result<Self, Error> {
         let client = reqwest::Client::builder()
             .http1_only()
+            .http1_max_headers(MAX_REPLY_HEADERS)
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
             .retry(reqwest::retry::never())
--- a/crates/geraniumgauge/src/upstream/tests.rs
+++ b/crates/geraniumgauge/src/upstream/tests.rs
@@ -163,6 +163,51 @@
     assert!(first.contains("deadline-ms: 250\r\n"), "{first}");
 }
 
+/// Guards against an upstream's reply that is lost since it has many headers.
+#[tokio::test]
+async fn a_reply_may_have_many_headers() {
+    let headers = format!("{MATCHING}{}", "x-note: a\r\n".repeat(1000));
+    let fake = fake(vec![Step::Answer(200, headers.leak(), HITS)]).await;
+    let reply = fake.connection(1000).search(&search(), || ()).await;
+    assert_eq!(reply.outcome, Outcome::Done);
+}
+
+/// Answers each call before it has read it, without a length, and resets the connection.
+async fn reset_early(listener: tokio::net::TcpListener) {
+    let head = format!("HTTP/1.1 200 x\r\n{MATCHING}connection: close\r\n\r\n");
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut part = [0; 4096];
+        let _ = stream.read(&mut part).await;
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.write_all(&HITS.as_bytes()[..4]).await;
+        let _ = stream.read(&mut part).await;
+        let linger = socket2::SockRef::from(&stream).set_linger(Some(time::Duration::ZERO));
+        linger.expect("can set a socket's linger time");
+    }
+}
+
+/// Guards against a part of a reply that looks whole: its connection is reset while the call is
+/// still being written.
+#[tokio::test]
+async fn a_reply_that_is_reset_during_a_long_call_isnt_whole() {
+    let fake = fake(Vec::new()).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let upstream = layout::Upstream {
+        address: listener.local_addr().unwrap(),
+        ..fake.upstream.clone()
+    };
+    tokio::spawn(reset_early(listener));
+    let call = Search {
+        body: vec![b' '; 8 << 20].into(),
+        ..search()
+    };
+    for _ in 0..100 {
+        let connection = Connection::new(&upstream, Limits::default()).unwrap();
+        let reply = connection.search(&call, || ()).await;
+        assert_ne!(reply.outcome, Outcome::Done);
+    }
+}
+
 /// A proxy between VM and upstream mixes up replies, so a reply to another call
 /// arrives. Accepting it would return hits of another shard or index version.
 #[tokio::test]
