A few VMs of each data centre poll when the store refuses the pollers

Cause: each failed poll that the pollers report postpones the polls of all others.

Change: the three VMs that rank first in each data centre don't postpone theirs, unless they have found the store unavailable themselves since the latest poll.

--- a/crates/geraniumgauge/src/spread/state/reliance.rs
+++ b/crates/geraniumgauge/src/spread/state/reliance.rs
@@ -24,7 +24,9 @@
 impl state::State {
     /// Handles another VM's report that the store is unavailable. That doesn't
     /// prove that this VM can't read it, so a VM that is known to be behind, or
-    /// whose latest poll is old, polls regardless.
+    /// whose latest poll is old, polls regardless. So do a few others, unless
+    /// they have found the store unavailable themselves since the latest poll: if it
+    /// serves one of them, that one updates all.
     pub(super) fn receive_unavailable(&mut self, sender: &ids::Vm, now: clock::Moment) {
         let age_ms = self.age(now).map(clock::millis);
         if !self.unavailable {
@@ -32,7 +34,7 @@
             self.schedule_retry(now);
         }
         self.unavailable = true;
-        if self.is_behind() {
+        if self.is_behind() || !self.found_unavailable && self.members.is_substitute() {
             return;
         }
         let before = self.poll_at;
--- a/crates/geraniumgauge/src/spread/tests/state.rs
+++ b/crates/geraniumgauge/src/spread/tests/state.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::ids;
 use crate::spread;
 use crate::spread::tests::messages;
 use crate::spread::tests::world;
@@ -96,6 +97,42 @@
     }
 }
 
+/// Makes the store refuse the VMs of the pollers' data centres.
+fn refuse_pollers_data_centres(world: &mut world::World) {
+    let now = world.now;
+    let is_poller = |vm: &&world::Vm| vm.state.poller_rank(now).is_some();
+    let pollers = world.vms.iter().filter(is_poller);
+    let refused: Vec<ids::DataCentre> = pollers
+        .map(|vm| vm.state.members().own().data_centre.clone())
+        .collect();
+    for vm in &mut world.vms {
+        vm.served = !refused.contains(&vm.state.members().own().data_centre);
+    }
+}
+
+/// Guards against changes that are late since the store refuses the pollers' data centres, and
+/// their reports postpone the polls of all others, which it serves, also of those that it has
+/// refused before.
+#[test]
+fn others_poll_in_time_when_the_store_refuses_the_pollers_data_centres() {
+    let fleets = [(8, 100), (61, 5)].into_iter();
+    for (count, seed) in fleets.flat_map(|(count, seeds)| (0..seeds).map(move |seed| (count, seed)))
+    {
+        let mut world = world::settled(count, seed);
+        for round in 0..4 {
+            world.run(time::Duration::from_millis(6000 + 100 * seed));
+            refuse_pollers_data_centres(&mut world);
+            world.change();
+            let took = world.until(MAX_APPLY_TIME, world::World::all_hold);
+            assert!(took.is_some(), "{count} VMs, seed {seed}, round {round}");
+            world.run(3 * SECOND);
+            for vm in &mut world.vms {
+                vm.served = true;
+            }
+        }
+    }
+}
+
 /// Guards against a VM that the store serves, but that only receives messages of
 /// VMs that it refuses, whose reports postpone its own poll again and again.
 #[test]
