--- a/crates/geraniumgauge/src/edge/sender.rs
+++ b/crates/geraniumgauge/src/edge/sender.rs
@@ -92,7 +92,7 @@
 
     /// Ends the connection in both directions, so that the tasks that read it on either side
     /// notice. Queued bytes aren't written.
-    pub(super) fn end(&self) {
+    pub(super) fn abort(&self) {
         self.queue.borrow_mut().failed = true;
         let socket = socket2::SockRef::from((*self.writer).as_ref());
         // Fails only if the connection has ended already.
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -222,7 +222,7 @@
             // The relay abandons the calls when it sees that the connection has ended.
             if let Some(sender) = sender {
                 log::info!(vm:% = address; "calls not abandoned; connection to VM ended");
-                sender.end();
+                sender.abort();
             }
             self.relay_unreachable(address, now);
         }
--- a/crates/geraniumgauge/src/edge/state/serve/report.rs
+++ b/crates/geraniumgauge/src/edge/state/serve/report.rs
@@ -170,7 +170,7 @@
                 peer = peer, bytes = bytes.len(), error:% = error;
                 "message to VM not sent; connection ended"
             );
-            sender.end();
+            sender.abort();
         }
     }
 }
--- a/crates/geraniumgauge/src/h1/body.rs
+++ b/crates/geraniumgauge/src/h1/body.rs
@@ -15,6 +15,7 @@
     /// Maximum size of the trailers, which are dropped, and of the line of a chunk's size with
     /// its extensions.
     lines_limit: rate::Bytes,
+    /// The line or the trailers that are being read.
     scan: scan::Scan,
 }
 
--- a/crates/geraniumgauge/src/h1/reply.rs
+++ b/crates/geraniumgauge/src/h1/reply.rs
@@ -67,6 +67,7 @@
     limit: rate::Bytes,
     /// Whether the call's method was HEAD, so that the reply has no body.
     head_only: bool,
+    /// The head that is being read.
     scan: scan::Scan,
     reading: Option<(Reply, h1::Body)>,
 }
--- a/crates/geraniumgauge/src/h1/request.rs
+++ b/crates/geraniumgauge/src/h1/request.rs
@@ -39,6 +39,7 @@
     names: h1::Names,
     head_limit: rate::Bytes,
     body_limit: rate::Bytes,
+    /// The head that is being read.
     scan: scan::Scan,
     reading: Option<Reading>,
 }
--- a/crates/geraniumgauge/src/spread/state/mod.rs
+++ b/crates/geraniumgauge/src/spread/state/mod.rs
@@ -7,9 +7,9 @@
 //! VM fetches missing content from its own data centre. A VM that has received no
 //! poll result for a while asks another VM, and then polls the store itself.
 //!
-//! While the store is unavailable, the pollers report that. Only a few other VMs,
-//! chosen at random, retry the store, since it may refuse some VMs and serve
-//! others.
+//! While the store is unavailable, the pollers report that. Since it may refuse some
+//! VMs and serve others, the backup pollers of each data centre then poll it once
+//! without delay, and a few other VMs, chosen at random, retry it.
 
 mod action;
 mod broadcast;
--- a/crates/geraniumgauge/src/spread/state/reliance.rs
+++ b/crates/geraniumgauge/src/spread/state/reliance.rs
@@ -24,9 +24,9 @@
 impl state::State {
     /// Handles another VM's report that the store is unavailable. That doesn't
     /// prove that this VM can't read it, so a VM that is known to be behind, or
-    /// whose latest poll is old, polls regardless. So do a few others, unless
-    /// they have found the store unavailable themselves since the latest poll: if it
-    /// serves one of them, that one updates all.
+    /// whose latest poll is old, polls regardless. So does a backup poller, unless it
+    /// has found the store unavailable itself since the latest poll: the store may
+    /// serve it, and then it updates all.
     pub(super) fn receive_unavailable(&mut self, sender: &ids::Vm, now: clock::Moment) {
         let age_ms = self.age(now).map(clock::millis);
         if !self.unavailable {
@@ -34,7 +34,8 @@
             self.schedule_retry(now);
         }
         self.unavailable = true;
-        if self.is_behind() || !self.found_unavailable && self.members.is_substitute() {
+        let polls_as_backup = !self.found_unavailable && self.members.is_backup_poller();
+        if self.is_behind() || polls_as_backup {
             return;
         }
         let before = self.poll_at;
