--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -10,7 +10,7 @@
 
 mod batch;
 mod report;
-pub(super) mod spending;
+mod spending;
 
 pub(super) use batch::Abandon;
 pub(super) use batch::Batch;
@@ -19,6 +19,8 @@
 pub(super) use report::How;
 pub(super) use report::Reply;
 pub(super) use report::Report;
+#[cfg(test)]
+pub(super) use spending::ServiceSpending;
 pub(super) use spending::Spending;
 pub(super) use spending::TakeSpending;
 
--- a/crates/geraniumgauge/src/edge/frame/batch.rs
+++ b/crates/geraniumgauge/src/edge/frame/batch.rs
@@ -64,8 +64,7 @@
     pub(in crate::edge) upstream: String,
     /// The upstream's address, sent only to a relay that recently lacked one: the
     /// octets of the IP address, then the port in big-endian order. Empty
-    /// otherwise, to keep frames within the small TCP windows between VMs: with
-    /// all addresses, searches of 90 shards took 20 ms longer.
+    /// otherwise, to keep frames within the small TCP windows between VMs.
     #[prost(bytes = "vec", tag = "3")]
     pub(in crate::edge) address: Vec<u8>,
     /// The ids of the upstreams that have another call for the same part and haven't
--- a/crates/geraniumgauge/src/edge/sender.rs
+++ b/crates/geraniumgauge/src/edge/sender.rs
@@ -29,6 +29,7 @@
     bytes: bytes::BytesMut,
     /// Whether a task is writing the queued bytes.
     writing: bool,
+    /// Whether nothing can be written any more.
     failed: bool,
     /// The connection's error, if writing got it. The system reports an error once: a read
     /// after it returns the same as at a regular end of the connection.
@@ -110,11 +111,12 @@
         self.queue.borrow().failed
     }
 
-    /// Checks that writing hasn't got an error of the connection.
+    /// Checks that the connection hasn't failed with an error that writing got, and that
+    /// reading therefore can't get. A broken pipe is none: the system reports it if the other
+    /// side refuses bytes after it has ended the connection regularly.
     ///
     /// # Errors
-    /// The error that it got. After one that says that the other side has ended the connection
-    /// regularly, and only refuses further bytes, there is none.
+    /// The error that writing got.
     pub(super) fn check_connection(&self) -> io::Result<()> {
         let queue = self.queue.borrow();
         let failure = queue.error.as_ref();
--- a/crates/geraniumgauge/src/edge/tests/caller.rs
+++ b/crates/geraniumgauge/src/edge/tests/caller.rs
@@ -59,7 +59,8 @@
     callers
 }
 
-/// Sends a request with a head of this size and returns the status of its answer, which has no body.
+/// Sends a request with a head of this size and returns the status of its answer, which has no
+/// body.
 async fn status_of(stream: &mut tokio::net::TcpStream, head_bytes: usize) -> String {
     let head = "GET / HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r\r\nX-Long: ";
     let filling = "a".repeat(head_bytes.saturating_sub(head.len() + 4));
--- a/crates/geraniumgauge/src/edge/tests/handover.rs
+++ b/crates/geraniumgauge/src/edge/tests/handover.rs
@@ -86,7 +86,7 @@
 fn what_a_vm_has_spent_is_read_as_it_was_sent() {
     let sent = frame::Spending {
         lent: Some(0.5),
-        services: vec![frame::spending::ServiceSpending {
+        services: vec![frame::ServiceSpending {
             service: "s".to_owned(),
             own: 2,
             shared: 3,
--- a/crates/geraniumgauge/src/spread/state/mod.rs
+++ b/crates/geraniumgauge/src/spread/state/mod.rs
@@ -8,8 +8,8 @@
 //! poll result for a while asks another VM, and then polls the store itself.
 //!
 //! While the store is unavailable, the pollers report that. Since it may refuse some
-//! VMs and serve others, the backup pollers of each data centre then poll it once
-//! without delay, and a few other VMs, chosen at random, retry it.
+//! VMs and serve others, the backup pollers of each data centre don't postpone
+//! their polls for such a report, and a few other VMs, chosen at random, retry.
 
 mod action;
 mod broadcast;
