Tests: an answer whose head breaks off is no success, at any byte

Other operators saw a replica that stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body. It can't happen here, so there is no fix: a reply is made of a whole head only. The tests pass on the code as it was. A head without end is refused at the limit. Not played through a relay.

--- a/crates/geraniumgauge/src/h1/tests.rs
+++ b/crates/geraniumgauge/src/h1/tests.rs
@@ -209,6 +209,51 @@
     assert!(codec.decode_eof(&mut buffer).is_err());
 }
 
+/// Guards against a reply whose head breaks off and that is taken for a whole one with an
+/// empty or short body.
+#[test]
+fn a_reply_whose_head_breaks_off_is_never_complete() {
+    let framings = [
+        "Content-Length: 3\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "",
+    ];
+    let interims = ["", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"];
+    let starts = framings
+        .into_iter()
+        .flat_map(|framing| interims.map(|interim| (framing, interim)));
+    for ((framing, interim), head_only) in
+        starts.flat_map(|start| [false, true].map(|head_only| (start, head_only)))
+    {
+        let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n{framing}\r\n");
+        for cut in 0..head.len() {
+            let mut codec = ReplyCodec::new(NAMES, rate::Bytes(1 << 16));
+            codec.expect(head_only);
+            let text = format!("{interim}{}", &head[..cut]);
+            let mut buffer = bytes::BytesMut::from(text.as_str());
+            let before_end = codec.decode(&mut buffer);
+            assert!(matches!(before_end, Ok(None)), "{text:?}");
+            let end = codec.decode_eof(&mut buffer);
+            assert!(!matches!(end, Ok(Some(_))), "{text:?}");
+        }
+    }
+}
+
+/// Guards against memory that grows with a reply's head without end.
+#[test]
+fn a_reply_whose_head_has_no_end_is_refused() {
+    let mut codec = ReplyCodec::new(NAMES, rate::Bytes(1 << 10));
+    let mut buffer = bytes::BytesMut::from("HTTP/1.1 200 OK\r\n");
+    for _ in 0..1024 {
+        buffer.extend_from_slice(b"A: b\r\n");
+        match codec.decode(&mut buffer) {
+            Ok(reply) => assert!(reply.is_none()),
+            Err(error) => return assert!(matches!(error, Error::HeadTooLarge(_))),
+        }
+    }
+    panic!("{} bytes were kept", buffer.len());
+}
+
 /// Makes a call and returns the length of its reply's body. A tenth of the reply is
 /// sent each `interval`, and nothing more after `pieces` tenths.
 fn call(pieces: usize, interval: std::time::Duration) -> Result<usize, client::Failure> {
--- a/crates/geraniumgauge/src/upstream/tests.rs
+++ b/crates/geraniumgauge/src/upstream/tests.rs
@@ -15,6 +15,8 @@
     Answer(u16, &'static str, &'static str),
     /// Closes the connection without an answer.
     Close,
+    /// Sends this part of an answer, then closes the connection.
+    Break(String),
     /// Answers with status 200, header lines and a body, then closes the connection.
     AnswerAndClose(&'static str, &'static str),
 }
@@ -64,6 +66,10 @@
         let (status, headers, body, close) = match step {
             Step::Answer(status, headers, body) => (status, headers, body, false),
             Step::AnswerAndClose(headers, body) => (200, headers, body, true),
+            Step::Break(part) => {
+                stream.write_all(part.as_bytes()).await.ok()?;
+                return None;
+            }
             Step::Close => return None,
         };
         let length = body.len();
@@ -291,6 +297,24 @@
     assert_eq!((fake.requests().len(), fake.connects()), (2, 1));
 }
 
+/// Guards against a reply whose head breaks off and that is taken for a whole one.
+#[tokio::test]
+async fn a_reply_whose_head_breaks_off_is_lost() {
+    let head = format!("HTTP/1.1 200 OK\r\n{MATCHING_RECORD}content-length: 0\r\n\r\n");
+    for cut in 0..head.len() {
+        let fake = fake(vec![
+            Step::Answer(200, MATCHING_RECORD, "{}"),
+            Step::Break(head[..cut].to_owned()),
+        ])
+        .await;
+        let connection = fake.connection(1000);
+        let whole = connection.record(&record(), || ()).await;
+        assert_eq!(whole.outcome, Outcome::Done);
+        let broken = connection.record(&record(), || ()).await;
+        assert_eq!(broken.outcome, Outcome::Lost, "{:?}", &head[..cut]);
+    }
+}
+
 /// The upstream closed an idle connection. The next call must report that nothing
 /// was sent, and must not open a second connection, which nobody would count.
 #[tokio::test]
