--- a/crates/geraniumgauge/src/spread/state/poll.rs
+++ b/crates/geraniumgauge/src/spread/state/poll.rs
@@ -23,8 +23,7 @@
 /// within this time.
 const FIRST_START_FALLBACK_DELAY_POLLS: std::ops::Range<f64> = 1.4..2.6;
 /// Time without data from the store after which a poll in progress is reported as
-/// unavailability. The report has to arrive before the other VMs poll the store
-/// themselves.
+/// unavailability. VMs that have failed themselves rely on such reports.
 pub(super) const SILENT_POLL_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Interval at which a store without a configuration is polled, in poll intervals.
 /// The configuration may be written at any moment.
