Edge: messages of callers take memory from a budget of the machine's

What callers saw: 200 of them that each held a body of 2 MiB short of its last bytes brought a VM of a 260 MB machine to 489 MB; there the platform ends the process, and all other callers lose it.

Cause: nothing related what is held to limits.memory_mb, which wasn't read. A body was buffered for as long as a byte came now and then, a chunked one took up to twice its size, a reply of 8 MiB was copied behind its head and held for ten seconds, and the system buffered megabytes for each socket.

Change: three sixteenths of the memory are a budget of bytes that requests, replies and answers share (memory::Budget; the division of a machine's memory stands in edge::Capacity). What buffers a message takes its part before it allocates, and the part goes with the bytes and returns when the last clone of them is dropped. A body of known length takes its part when it begins, so it never lacks memory later; large ones are mapped by themselves, since those that come and go left gaps on the heap as large again (151 MB resident with a budget of 40). Where the budget is used up, connections whose message has come or gone at less than 64 KiB/s lately make room for it, slowest first; if there is none, the request is refused as not run, with its id. An eighth is left to small messages. Callers' sockets buffer 16 KiB each way, those to upstreams 64 KiB of what isn't sent. Refusals are counted by cause (edge_overload), and logged at most once a second each.

The tests of memory, places and caller show each part alone; on the code before, a_request_without_memory_is_refused_with_its_id has no budget to use up.

--- a/crates/geraniumgauge/src/edge/answer.rs
+++ b/crates/geraniumgauge/src/edge/answer.rs
@@ -10,11 +10,16 @@
 /// have one.
 pub(super) const STARTING_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
+/// Size up to which a body is written together with the head.
+const SMALL_BODY: usize = 16 << 10;
+
 /// An encoded answer.
 #[derive(Debug)]
 pub(super) struct Answer {
-    /// The encoded status line, headers and body.
-    pub(super) bytes: Vec<u8>,
+    /// The encoded status line and headers, and a small body.
+    pub(super) head: Vec<u8>,
+    /// A large body, which isn't copied behind the head.
+    pub(super) body: bytes::Bytes,
     /// Whether the connection is closed after the answer.
     pub(super) close: bool,
     /// The outcome as named in logs and metrics.
@@ -48,19 +53,22 @@
 
     /// Encodes an upstream's reply unchanged.
     fn reply(self, reply: &h1::Reply) -> Answer {
-        let mut bytes = status_line(reply.status, reply.headers.len() + reply.body.len());
-        bytes.extend_from_slice(&reply.headers);
-        self.finish(bytes, reply.status, &reply.body, "reply")
+        let mut head = status_line(
+            reply.status,
+            reply.headers.len() + reply.body.len().min(SMALL_BODY),
+        );
+        head.extend_from_slice(&reply.headers);
+        self.finish(head, reply.status, reply.body.clone(), "reply")
     }
 
     /// Encodes an answer merged from the replies of shards.
     fn merged(self, merged: &forward::Merged) -> Answer {
         let signatures = merged.signatures.join(", ");
-        let mut bytes = status_line(200, signatures.len() + merged.records.len());
-        self.add_request_id(&mut bytes);
+        let mut head = status_line(200, signatures.len() + merged.records.len());
+        self.add_request_id(&mut head);
         // Writing to memory can't fail.
         let _ = write!(
-            bytes,
+            head,
             "{}: {signatures}\r\n{}: {}\r\n",
             self.names.signatures, self.names.missing, merged.missing
         );
@@ -69,22 +77,23 @@
         } else {
             "partial"
         };
-        self.finish(bytes, 200, &merged.records, outcome)
+        let records = bytes::Bytes::copy_from_slice(&merged.records);
+        self.finish(head, 200, records, outcome)
     }
 
     /// Encodes the refusal of a request that wasn't run and never will be.
     pub(super) fn not_run(self, status: u16, retry_after: time::Duration) -> Answer {
-        let mut bytes = status_line(status, 0);
-        self.add_request_id(&mut bytes);
-        let _ = write!(bytes, "Retry-After: {:.3}\r\n", retry_after.as_secs_f64());
-        self.finish(bytes, status, b"", "not_run")
+        let mut head = status_line(status, 0);
+        self.add_request_id(&mut head);
+        let _ = write!(head, "Retry-After: {:.3}\r\n", retry_after.as_secs_f64());
+        self.finish(head, status, bytes::Bytes::new(), "not_run")
     }
 
     /// Encodes an answer with only a status.
     pub(super) fn plain(self, status: u16, outcome: &'static str) -> Answer {
-        let mut bytes = status_line(status, 0);
-        self.add_request_id(&mut bytes);
-        self.finish(bytes, status, b"", outcome)
+        let mut head = status_line(status, 0);
+        self.add_request_id(&mut head);
+        self.finish(head, status, bytes::Bytes::new(), outcome)
     }
 
     fn add_request_id(self, bytes: &mut Vec<u8>) {
@@ -94,20 +103,31 @@
     }
 
     /// Adds the remaining headers and the body.
-    fn finish(self, mut bytes: Vec<u8>, status: u16, body: &[u8], outcome: &'static str) -> Answer {
+    fn finish(
+        self,
+        mut head: Vec<u8>,
+        status: u16,
+        mut body: bytes::Bytes,
+        outcome: &'static str,
+    ) -> Answer {
         let bodiless = status < 200 || matches!(status, 204 | 304);
         if !bodiless {
-            let _ = write!(bytes, "Content-Length: {}\r\n", body.len());
+            let _ = write!(head, "Content-Length: {}\r\n", body.len());
         }
         if self.close {
-            bytes.extend_from_slice(b"Connection: close\r\n");
+            head.extend_from_slice(b"Connection: close\r\n");
+        }
+        head.extend_from_slice(b"\r\n");
+        if bodiless || self.head_only {
+            body.clear();
         }
-        bytes.extend_from_slice(b"\r\n");
-        if !bodiless && !self.head_only {
-            bytes.extend_from_slice(body);
+        if body.len() <= SMALL_BODY {
+            head.extend_from_slice(&body);
+            body.clear();
         }
         Answer {
-            bytes,
+            head,
+            body,
             close: self.close,
             outcome,
             status,
--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -1,20 +1,23 @@
 //! Serves one caller's connection.
 
+mod receive;
+mod send;
+
 use std::pin;
 use std::rc;
 use std::time;
 
 use tokio::io::AsyncReadExt as _;
-use tokio::io::AsyncWriteExt as _;
 use tokio::sync;
-use tokio_util::codec::Decoder as _;
 
 use crate::edge;
 use crate::edge::answer;
 use crate::edge::engine;
 use crate::edge::link;
+use crate::edge::places;
 use crate::forward;
 use crate::h1;
+use crate::memory;
 use crate::rate;
 use crate::route;
 use crate::time as clock;
@@ -26,49 +29,44 @@
     head_timeout: time::Duration::from_secs(3),
     idle_timeout: time::Duration::from_secs(15),
 };
-/// Buffer space for each read, enough for a typical request.
-const READ_BUFFER_SIZE: usize = 2048;
-/// How many bytes of later requests are read while one is in progress.
-const MAX_READ_AHEAD: usize = 16 << 10;
-/// Timeout of writing an answer.
-const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-/// How long a connection is read after its last answer, so that the caller can read
-/// that answer before the connection is reset.
-const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-
+/// `Retry-After` of a request for which there is no memory, about as long as others take.
+const NO_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 /// Maximum number of missing shards named in the log of an answer.
 const MAX_LOGGED_SHARDS: usize = 8;
 
-/// The result of reading a request.
-enum Next {
-    Request(h1::Request),
-    /// The caller disconnected or was idle for too long.
-    End,
-    /// The bytes received aren't a valid request.
-    Bad(h1::Error),
-    /// The request wasn't received completely in time.
-    TimedOut,
-}
-
 /// One caller's connection.
 pub(super) struct Connection {
     engine: edge::Engine,
     stream: tokio::net::TcpStream,
+    place: places::Place,
     buffer: bytes::BytesMut,
+    /// The part of the budget for what is buffered.
+    hold: memory::Hold,
     codec: h1::RequestCodec,
+    /// Whether a request was answered.
+    has_answered: bool,
     done: rc::Rc<sync::Notify>,
     /// Reused for every wait of a request.
     timer: pin::Pin<Box<tokio::time::Sleep>>,
 }
 
 impl Connection {
-    pub(super) fn new(engine: edge::Engine, stream: tokio::net::TcpStream) -> Self {
+    pub(super) fn new(
+        engine: edge::Engine,
+        stream: tokio::net::TcpStream,
+        place: places::Place,
+    ) -> Self {
         let limits = INITIAL_LIMITS;
+        let budget = place.places().budget().clone();
+        let codec = h1::RequestCodec::new(*engine.names(), limits.max_head, limits.max_body);
         Self {
-            codec: h1::RequestCodec::new(*engine.names(), limits.max_head, limits.max_body),
+            hold: budget.hold(),
+            codec: codec.with_budget(budget),
             engine,
             stream,
+            place,
             buffer: bytes::BytesMut::new(),
+            has_answered: false,
             done: rc::Rc::new(sync::Notify::new()),
             timer: Box::pin(tokio::time::sleep(time::Duration::ZERO)),
         }
@@ -82,13 +80,19 @@
         }
         loop {
             let answer = match self.next().await {
-                Next::End => return,
-                Next::Request(request) => match self.serve(request).await {
+                receive::Next::End => return,
+                receive::Next::Request(request) => match self.serve(request).await {
                     Some(answer) => answer,
                     None => return,
                 },
-                Next::Bad(error) => self.refuse(&error),
-                Next::TimedOut => self.answer("", true).plain(408, "slow"),
+                receive::Next::Bad(error) => self.refuse(&error),
+                receive::Next::TimedOut => self.answer("", true).plain(408, "slow"),
+                receive::Next::NoMemory(id) => self.no_memory(&id),
+                receive::Next::Ended(id) => {
+                    // Nobody waits for this connection to take it.
+                    let _ = self.stream.try_write(&self.no_memory(&id).head);
+                    return;
+                }
             };
             if !self.write(&answer).await {
                 return;
@@ -96,38 +100,7 @@
             if answer.close {
                 return self.linger().await;
             }
-        }
-    }
-
-    /// Reads the next request.
-    async fn next(&mut self) -> Next {
-        let mut began = None;
-        loop {
-            // A configuration may have come while the connection was idle.
-            let limits = self.limits();
-            self.codec.limit(limits.max_head, limits.max_body);
-            match self.codec.decode(&mut self.buffer) {
-                Ok(Some(request)) => return Next::Request(request),
-                Ok(None) => {}
-                Err(error) => return Next::Bad(error),
-            }
-            if self.codec.expects_continue() && self.send_continue().await.is_err() {
-                return Next::End;
-            }
-            let reading_head = !self.buffer.is_empty() && !self.codec.in_body();
-            let now = tokio::time::Instant::now();
-            let until = if reading_head {
-                *began.get_or_insert(now) + limits.head_timeout
-            } else {
-                now + limits.idle_timeout
-            };
-            let idle = !reading_head && !self.codec.in_body();
-            match self.read(until, idle).await {
-                Ok(true) => {}
-                Ok(false) => return Next::End,
-                Err(_) if idle => return Next::End,
-                Err(_) => return Next::TimedOut,
-            }
+            self.has_answered = true;
         }
     }
 
@@ -137,42 +110,15 @@
         table.map_or(INITIAL_LIMITS, |table| table.limits())
     }
 
-    /// Sends `100 Continue`, for which the caller waits before sending the body.
-    async fn send_continue(&mut self) -> std::io::Result<()> {
-        self.stream
-            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-            .await
-    }
-
-    /// Reads more bytes. Returns false if the connection ended, or if it is idle and
-    /// the edge is closing.
-    ///
-    /// # Errors
-    /// If nothing is read before `until`.
-    async fn read(
-        &mut self,
-        until: tokio::time::Instant,
-        idle: bool,
-    ) -> Result<bool, tokio::time::error::Elapsed> {
-        if idle {
-            // Frees the buffer while the connection is between requests.
-            self.buffer = bytes::BytesMut::new();
-        }
-        self.buffer.reserve(READ_BUFFER_SIZE);
-        let mut phases = self.engine.phases();
-        let read = async {
-            let closing = phases.wait_for(|phase| *phase >= engine::Phase::Closing);
-            tokio::select! {
-                biased;
-                read = self.stream.read_buf(&mut self.buffer) => read.is_ok_and(|count| count > 0),
-                _ = closing, if idle => false,
-            }
-        };
-        tokio::time::timeout_at(until, read).await
+    /// Returns the refusal of a request for which there is no memory.
+    fn no_memory(&self, request_id: &str) -> answer::Answer {
+        self.answer(request_id, true)
+            .not_run(503, NO_MEMORY_RETRY_AFTER)
     }
 
     /// Runs a request and returns its answer; `None` if the caller disconnected.
     async fn serve(&mut self, request: h1::Request) -> Option<answer::Answer> {
+        self.place.start_running();
         let leaving = self.engine.phase() >= engine::Phase::Leaving;
         let close = request.close || leaving;
         let head_only = request.method == "HEAD";
@@ -220,12 +166,13 @@
             }
             let wake = self.engine.wake_at(id)?;
             self.timer.as_mut().reset(self.engine.clock().instant(wake));
-            let may_read = self.buffer.len() < MAX_READ_AHEAD;
+            let may_read = self.may_read_ahead();
+            let reading = self.stream.read_buf(&mut self.buffer);
             tokio::select! {
                 biased;
                 () = self.done.notified() => {}
                 () = &mut self.timer => self.engine.tick(id),
-                read = self.stream.read_buf(&mut self.buffer), if may_read => {
+                read = reading, if may_read => {
                     if read.is_err() || read.is_ok_and(|count| count == 0) {
                         self.engine.cancel(id);
                         return None;
@@ -304,37 +251,11 @@
             h1::Error::HeadTooLarge(_) => 431,
             h1::Error::BodyTooLarge(_) => 413,
             h1::Error::UnsupportedTransferCoding => 501,
+            h1::Error::NoMemory(_) => return self.no_memory(""),
             h1::Error::Malformed(_) | h1::Error::Io(_) => 400,
         };
         self.answer("", true).plain(status, "bad_request")
     }
-
-    /// Writes an answer and returns whether that succeeded in time.
-    async fn write(&mut self, answer: &answer::Answer) -> bool {
-        let written =
-            tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(&answer.bytes)).await;
-        matches!(written, Ok(Ok(())))
-    }
-
-    /// Closes the connection gracefully: shuts down writing, then discards what the
-    /// caller still sends. Closing with unread bytes would reset the connection before
-    /// the caller has read the last answer.
-    async fn linger(mut self) {
-        if self.stream.shutdown().await.is_err() {
-            return;
-        }
-        let discard = async {
-            loop {
-                self.buffer.clear();
-                match self.stream.read_buf(&mut self.buffer).await {
-                    Ok(count) if count > 0 => {}
-                    _ => return,
-                }
-            }
-        };
-        // The connection is closed now even if the caller hasn't closed it.
-        let _ = tokio::time::timeout(LINGER_TIMEOUT, discard).await;
-    }
 }
 
 /// Formats the reasons why parts have no reply, as space-separated `cause=count`.
--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -11,12 +11,15 @@
 use crate::edge;
 use crate::edge::frame;
 use crate::edge::link;
+use crate::edge::overload;
 use crate::edge::peers;
+use crate::edge::places;
 use crate::edge::pool;
 use crate::edge::state;
 use crate::forward;
 use crate::h1;
 use crate::ids;
+use crate::memory;
 use crate::registry;
 use crate::route;
 use crate::spread;
@@ -47,6 +50,8 @@
     clock: clock::Clock,
     names: h1::Names,
     instruments: edge::Instruments,
+    places: places::Places,
+    capacity: edge::Capacity,
     /// Relays to which a task keeps a connection open.
     peers: rc::Rc<cell::RefCell<collections::HashSet<net::SocketAddr>>>,
     crash_suspects: TakeOnce<sync::mpsc::UnboundedReceiver<ids::Fingerprint>>,
@@ -69,7 +74,12 @@
         names: h1::Names,
         clock: clock::Clock,
         instruments: edge::Instruments,
+        capacity: edge::Capacity,
     ) -> Self {
+        let overload = overload::Overload::new(instruments.clone());
+        let new_places = |connections, bytes| {
+            places::Places::new(connections, memory::Budget::new(bytes), overload.clone())
+        };
         let (suspects_sender, suspects_receiver) = sync::mpsc::unbounded_channel();
         let state = state::State::new(fleet, relays, names, instruments.clone(), suspects_sender);
         Self {
@@ -78,6 +88,8 @@
             clock,
             names,
             instruments,
+            places: new_places(capacity.connections, capacity.messages),
+            capacity,
             peers: rc::Rc::default(),
             crash_suspects: rc::Rc::new(cell::RefCell::new(Some(suspects_receiver))),
             responder: rc::Rc::default(),
@@ -335,6 +347,16 @@
         self.clock
     }
 
+    /// Returns the places of callers' connections.
+    pub(super) fn places(&self) -> &places::Places {
+        &self.places
+    }
+
+    /// Returns what callers may use of this VM.
+    pub(super) fn capacity(&self) -> &edge::Capacity {
+        &self.capacity
+    }
+
     pub(super) fn names(&self) -> &h1::Names {
         &self.names
     }
--- a/crates/geraniumgauge/src/edge/instruments.rs
+++ b/crates/geraniumgauge/src/edge/instruments.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics;
 
+use crate::edge::overload;
 use crate::forward;
 use crate::ids;
 
@@ -24,6 +25,7 @@
     extra_arrived: metrics::Counter<u64>,
     extra_not_made: metrics::Counter<u64>,
     frame_late: metrics::Histogram<f64>,
+    overload: metrics::Counter<u64>,
 }
 
 impl Instruments {
@@ -80,6 +82,10 @@
                 "edge_identity_checks",
                 "Checks which upstream a new connection leads to, by outcome",
             ),
+            overload: counter(
+                "edge_overload",
+                "Requests refused and connections ended for lack of room, by cause",
+            ),
             missing_shards: counter("edge_missing_shards", "Shards left out of merged answers"),
         }
     }
@@ -119,6 +125,12 @@
             .add(1, &[KeyValue::new("service", service.to_string())]);
     }
 
+    /// Counts a request refused, or a connection ended, for lack of room.
+    pub(super) fn refused(&self, cause: overload::Cause) {
+        self.overload
+            .add(1, &[KeyValue::new("cause", cause.to_string())]);
+    }
+
     /// Records how late a relay's report arrived.
     pub fn frame_late(&self, late: time::Duration) {
         self.frame_late.record(late.as_secs_f64(), &[]);
--- a/crates/geraniumgauge/src/edge/link.rs
+++ b/crates/geraniumgauge/src/edge/link.rs
@@ -24,8 +24,12 @@
 /// How long sent bytes may stay unacknowledged before the connection fails. A
 /// connection may stay dead while new ones to the same host work.
 pub(super) const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+/// Send buffer of a connection to an upstream, in bytes.
+const SEND_BUFFER_SIZE: usize = 64 << 10;
 /// Initial size of the read buffer, enough for a typical reply.
 const READ_BUFFER_SIZE: usize = 4096;
+/// Largest buffer space for a read of a body.
+const MAX_READ_SIZE: usize = 16 << 10;
 
 /// A connection to an upstream that is to be opened and then read.
 pub(super) struct Opening {
@@ -40,7 +44,10 @@
     /// Opens the connection and serves it until it ends.
     pub(super) async fn run(self) {
         let (receiver, sender) = match connect(self.address).await {
-            Ok(stream) => receiver::Receiver::split(stream),
+            Ok(stream) => {
+                limit_send_buffer(&stream);
+                receiver::Receiver::split(stream)
+            }
             Err(error) => {
                 return self
                     .engine
@@ -59,10 +66,12 @@
 
     /// Reads replies until the connection ends.
     async fn read(&self, mut receiver: receiver::Receiver) -> Result<(), h1::Error> {
-        let mut codec = h1::ReplyCodec::new(*self.engine.names(), MAX_REPLY);
+        let places = self.engine.places();
+        let codec = h1::ReplyCodec::new(*self.engine.names(), MAX_REPLY);
+        let mut codec = codec.with_budget(places.budget().clone());
         let mut buffer = bytes::BytesMut::new();
         loop {
-            buffer.reserve(READ_BUFFER_SIZE);
+            buffer.reserve(codec.missing().clamp(READ_BUFFER_SIZE, MAX_READ_SIZE));
             let count = receiver.read(&mut buffer).await?;
             if !self.engine.is_busy(self.link) {
                 return Err(h1::Error::Malformed(
@@ -72,12 +81,19 @@
             codec.expect(self.head_only.get());
             loop {
                 let decoded = if count == 0 {
-                    codec.decode_eof(&mut buffer)?
+                    codec.decode_eof(&mut buffer)
                 } else {
-                    codec.decode(&mut buffer)?
+                    codec.decode(&mut buffer)
                 };
-                let Some(reply) = decoded else {
-                    break;
+                let reply = match decoded {
+                    Ok(Some(reply)) => reply,
+                    Ok(None) => break,
+                    Err(h1::Error::NoMemory(exhausted))
+                        if places.make_room(None, exhausted.missing).await =>
+                    {
+                        continue;
+                    }
+                    Err(error) => return Err(error),
                 };
                 let extra_bytes = !buffer.is_empty();
                 let link = self.link;
@@ -107,6 +123,15 @@
     Ok(stream)
 }
 
+/// Limits what the system buffers for an upstream that doesn't read. Its default grows to
+/// megabytes.
+fn limit_send_buffer(stream: &tokio::net::TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(error) = socket.set_send_buffer_size(SEND_BUFFER_SIZE) {
+        log::warn!(error:% = error; "can't limit the send buffer to an upstream");
+    }
+}
+
 /// Sets the socket options that every connection of the edge needs.
 pub(super) fn set_socket_options(stream: &tokio::net::TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/geraniumgauge/src/edge/server.rs
+++ b/crates/geraniumgauge/src/edge/server.rs
@@ -8,6 +8,7 @@
 use crate::edge;
 use crate::edge::caller;
 use crate::edge::engine;
+use crate::rate;
 
 /// Delay before accepting again after an error, such as too many open descriptors,
 /// which retrying at once wouldn't solve.
@@ -19,25 +20,20 @@
     engine: edge::Engine,
     listener: tokio::net::TcpListener,
     open: rc::Rc<cell::Cell<usize>>,
-    max_connections: usize,
 }
 
 impl Server {
-    /// Listens on `address` for at most `max_connections` at the same time.
+    /// Listens on `address`.
     ///
     /// # Errors
     /// If listening on the address fails.
-    pub async fn bind(
-        engine: edge::Engine,
-        address: net::SocketAddr,
-        max_connections: usize,
-    ) -> std::io::Result<Self> {
+    pub async fn bind(engine: edge::Engine, address: net::SocketAddr) -> std::io::Result<Self> {
         let listener = tokio::net::TcpListener::bind(address).await?;
+        limit_buffers(&listener, engine.capacity().socket_buffer);
         Ok(Self {
             engine,
             listener,
             open: rc::Rc::new(cell::Cell::new(0)),
-            max_connections,
         })
     }
 
@@ -64,9 +60,7 @@
                 _ = closing => return,
             };
             match accepted {
-                Ok((stream, _)) if self.open.get() < self.max_connections => self.serve(stream),
-                // Dropping the stream closes it before any request is read.
-                Ok(_) => log::warn!(open = self.open.get(); "too many connections; one closed"),
+                Ok((stream, _)) => self.serve(stream),
                 Err(error) => {
                     log::warn!(error:% = error; "connection not accepted");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -75,13 +69,29 @@
         }
     }
 
+    /// Serves a connection. If there is no place for it, it is closed before any request is
+    /// read.
     fn serve(&self, stream: tokio::net::TcpStream) {
+        let Some(place) = self.engine.places().enter() else {
+            return;
+        };
         let open = self.open.clone();
         open.set(open.get() + 1);
-        let connection = caller::Connection::new(self.engine.clone(), stream);
+        let connection = caller::Connection::new(self.engine.clone(), stream, place);
         tokio::task::spawn_local(async move {
             connection.run().await;
             open.set(open.get() - 1);
         });
     }
 }
+
+/// Limits the buffers of the connections that are accepted. The system's default grows to
+/// megabytes for each connection that isn't read.
+pub(super) fn limit_buffers(listener: &tokio::net::TcpListener, size: rate::Bytes) {
+    let socket = socket2::SockRef::from(listener);
+    let size = usize::try_from(size.0).unwrap_or(usize::MAX);
+    let limited = socket.set_recv_buffer_size(size);
+    if let Err(error) = limited.and_then(|()| socket.set_send_buffer_size(size)) {
+        log::warn!(error:% = error, bytes = size; "can't limit the buffers of connections");
+    }
+}
--- a/crates/geraniumgauge/src/edge/tests/caller.rs
+++ b/crates/geraniumgauge/src/edge/tests/caller.rs
@@ -33,6 +33,7 @@
         world::NAMES,
         clock::Clock::start(),
         instruments,
+        edge::Capacity::of(rate::Bytes(260_000_000), 4100),
     )
 }
 
@@ -54,7 +55,8 @@
 /// Opens a connection that the engine serves.
 async fn connect(engine: &edge::Engine) -> tokio::net::TcpStream {
     let (ours, callers) = world::ends().await;
-    let connection = caller::Connection::new(engine.clone(), ours);
+    let place = engine.places().enter().expect("a free place");
+    let connection = caller::Connection::new(engine.clone(), ours, place);
     tokio::task::spawn_local(connection.run());
     callers
 }
@@ -98,3 +100,43 @@
         assert_eq!(status_of(&mut stream, LONG_HEAD_BYTES).await, "503");
     });
 }
+
+/// Reads until the connection ends.
+async fn read_all(stream: &mut tokio::net::TcpStream) -> String {
+    let mut answer = Vec::new();
+    // A reset ends it, too.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against a refusal for lack of memory that doesn't say that the request hasn't run, or
+/// for which request.
+#[test]
+fn a_request_without_memory_is_refused_with_its_id() {
+    world::run(async {
+        let engine = engine();
+        engine.set_registrations_listed();
+        let mut config = config(1, rate::Bytes(1024));
+        config.limits.max_body = rate::Bytes(1 << 20);
+        engine.configure(config);
+        let budget = engine.places().budget();
+        let mut others = budget.hold();
+        others
+            .resize(rate::Bytes(budget.limit().0 / 8 * 7))
+            .expect("nothing else is held");
+        let mut stream = connect(&engine).await;
+        let body = "b".repeat(100_000);
+        let request = format!(
+            "POST / HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r7\r\nContent-Length: 100000\r\n\r\n{body}"
+        );
+        // The refusal may come before the whole body is sent.
+        let _ = stream.write_all(request.as_bytes()).await;
+        let answer = read_all(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("x-request-id: r7\r\n"), "{answer}");
+        assert!(answer.contains("Retry-After: 0.500\r\n"), "{answer}");
+        assert!(answer.contains("Connection: close\r\n"), "{answer}");
+        drop(others);
+        assert_eq!(budget.used(), rate::Bytes(0));
+    });
+}
--- a/crates/geraniumgauge/src/edge/tests/mod.rs
+++ b/crates/geraniumgauge/src/edge/tests/mod.rs
@@ -3,6 +3,7 @@
 mod handover;
 mod identity;
 mod peers;
+mod places;
 mod receiver;
 mod sender;
 mod state;
--- a/crates/geraniumgauge/src/h1/body.rs
+++ b/crates/geraniumgauge/src/h1/body.rs
@@ -4,13 +4,14 @@
 
 use crate::h1;
 use crate::h1::scan;
+use crate::memory;
 use crate::rate;
 
 /// A decoder of one body.
 #[derive(Debug)]
 pub struct Body {
     end: End,
-    buffer: bytes::BytesMut,
+    buffer: memory::Buffer,
     limit: rate::Bytes,
     /// Maximum size of the trailers, which are dropped, and of the line of a chunk's size with
     /// its extensions.
@@ -48,44 +49,73 @@
     ///
     /// # Errors
     /// If `len` is larger than `limit`.
-    pub fn sized(len: usize, limit: rate::Bytes) -> Result<Self, h1::Error> {
+    pub fn sized(
+        len: usize,
+        limit: rate::Bytes,
+        budget: &memory::Budget,
+    ) -> Result<Self, h1::Error> {
         if len as u64 > limit.0 {
             return Err(h1::Error::BodyTooLarge(limit));
         }
-        Ok(Self::new(End::Length(len), limit, rate::Bytes(0)))
+        Ok(Self::new(End::Length(len), limit, rate::Bytes(0), budget))
     }
 
     /// Creates a decoder of a chunked body. `lines_limit` limits the trailers, and the line
     /// before each chunk.
-    pub fn chunked(limit: rate::Bytes, lines_limit: rate::Bytes) -> Self {
-        Self::new(End::Chunked(Chunk::Size), limit, lines_limit)
+    pub fn chunked(limit: rate::Bytes, lines_limit: rate::Bytes, budget: &memory::Budget) -> Self {
+        Self::new(End::Chunked(Chunk::Size), limit, lines_limit, budget)
     }
 
     /// Creates a decoder of a body that ends when the connection is closed.
-    pub fn until_close(limit: rate::Bytes) -> Self {
-        Self::new(End::UntilClose, limit, rate::Bytes(0))
+    pub fn until_close(limit: rate::Bytes, budget: &memory::Budget) -> Self {
+        Self::new(End::UntilClose, limit, rate::Bytes(0), budget)
     }
 
-    fn new(end: End, limit: rate::Bytes, lines_limit: rate::Bytes) -> Self {
+    fn new(
+        end: End,
+        limit: rate::Bytes,
+        lines_limit: rate::Bytes,
+        budget: &memory::Budget,
+    ) -> Self {
         Self {
             end,
-            buffer: bytes::BytesMut::new(),
+            buffer: memory::Buffer::new(budget),
             limit,
             lines_limit,
             scan: scan::Scan::new(scan::Kind::Line),
         }
     }
 
+    /// Returns how many bytes of the body have come.
+    pub fn received(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Returns how many bytes of the body are known to be missing.
+    pub fn missing(&self) -> usize {
+        match self.end {
+            End::Length(len) => len - self.buffer.len(),
+            End::Chunked(Chunk::Data(remaining)) => remaining,
+            End::Chunked(_) | End::UntilClose => 0,
+        }
+    }
+
+    /// Returns how much of the budget it holds.
+    pub fn held(&self) -> rate::Bytes {
+        self.buffer.held()
+    }
+
     /// Consumes bytes from `source` and returns the body once it is complete.
     ///
     /// # Errors
-    /// If the chunks are malformed or the body is too large.
+    /// If the chunks are malformed or the body is too large. After [`h1::Error::NoMemory`], no
+    /// byte is lost and the call may be repeated.
     pub fn read(
         &mut self,
         source: &mut bytes::BytesMut,
     ) -> Result<Option<bytes::Bytes>, h1::Error> {
         match self.end {
-            End::Length(len) => Ok(Self::read_sized(len, source)),
+            End::Length(len) => self.read_sized(len, source),
             End::Chunked(_) => self.read_chunks(source),
             End::UntilClose => {
                 self.append(source.len(), source)?;
@@ -99,19 +129,30 @@
         (self.end == End::UntilClose).then(|| self.buffer.freeze())
     }
 
-    fn read_sized(len: usize, source: &mut bytes::BytesMut) -> Option<bytes::Bytes> {
-        if source.len() < len {
-            source.reserve(len - source.len());
-            return None;
-        }
-        Some(source.split_to(len).freeze())
+    fn read_sized(
+        &mut self,
+        len: usize,
+        source: &mut bytes::BytesMut,
+    ) -> Result<Option<bytes::Bytes>, h1::Error> {
+        let taken = source.len().min(len - self.buffer.len());
+        let size = memory::Size::Known(len);
+        self.buffer.append(&source[..taken], size)?;
+        source.advance(taken);
+        Ok((self.buffer.len() == len).then(|| self.take()))
+    }
+
+    /// Returns the bytes that have come.
+    fn take(&mut self) -> bytes::Bytes {
+        self.buffer.take().freeze()
     }
 
     fn append(&mut self, len: usize, source: &mut bytes::BytesMut) -> Result<(), h1::Error> {
         if (self.buffer.len() + len) as u64 > self.limit.0 {
             return Err(h1::Error::BodyTooLarge(self.limit));
         }
-        self.buffer.extend_from_slice(&source[..len]);
+        let max_len = usize::try_from(self.limit.0).unwrap_or(usize::MAX);
+        let size = memory::Size::AtMost(max_len);
+        self.buffer.append(&source[..len], size)?;
         source.advance(len);
         Ok(())
     }
@@ -129,7 +170,7 @@
                     if !self.skip_trailers(source)? {
                         return Ok(None);
                     }
-                    return Ok(Some(std::mem::take(&mut self.buffer).freeze()));
+                    return Ok(Some(self.take()));
                 }
             };
             let Some(next) = next else {
--- a/crates/geraniumgauge/src/h1/mod.rs
+++ b/crates/geraniumgauge/src/h1/mod.rs
@@ -20,6 +20,7 @@
 pub use request::Request;
 pub use request::RequestCodec;
 
+use crate::memory;
 use crate::rate;
 
 /// Names of the headers with a meaning to the gateway, in lower case.
@@ -62,11 +63,20 @@
     /// The message has a transfer coding other than chunked.
     #[display("unsupported transfer coding")]
     UnsupportedTransferCoding,
+    /// There is no memory left for the message. Decoding may be tried again.
+    #[display("{_0}")]
+    NoMemory(memory::Exhausted),
     /// The connection failed.
     #[display("connection failed: {_0}")]
     Io(std::io::Error),
 }
 
+impl From<memory::Exhausted> for Error {
+    fn from(exhausted: memory::Exhausted) -> Self {
+        Self::NoMemory(exhausted)
+    }
+}
+
 impl From<std::io::Error> for Error {
     fn from(error: std::io::Error) -> Self {
         Self::Io(error)
--- a/crates/geraniumgauge/src/h1/reply.rs
+++ b/crates/geraniumgauge/src/h1/reply.rs
@@ -7,6 +7,7 @@
 use crate::h1;
 use crate::h1::head;
 use crate::h1::scan;
+use crate::memory;
 use crate::rate;
 
 /// A complete reply.
@@ -65,6 +66,8 @@
 pub struct ReplyCodec {
     names: h1::Names,
     limit: rate::Bytes,
+    /// What bodies take up memory from.
+    budget: memory::Budget,
     /// Whether the call's method was HEAD, so that the reply has no body.
     head_only: bool,
     /// The head that is being read.
@@ -78,12 +81,24 @@
         Self {
             names,
             limit,
+            budget: memory::Budget::unlimited(),
             head_only: false,
             scan: scan::Scan::new(scan::Kind::Head),
             reading: None,
         }
     }
 
+    /// Sets the budget that bodies take up memory from.
+    pub fn with_budget(self, budget: memory::Budget) -> Self {
+        Self { budget, ..self }
+    }
+
+    /// Returns how many bytes of the body that is being read are known to be missing.
+    pub fn missing(&self) -> usize {
+        let reading = self.reading.as_ref();
+        reading.map_or(0, |(_, body)| body.missing())
+    }
+
     /// Sets whether the next reply answers a HEAD request.
     pub fn expect(&mut self, head_only: bool) {
         self.head_only = head_only;
@@ -157,16 +172,16 @@
     fn body(&self, reply: &mut Reply, framing: &head::Framing) -> Result<h1::Body, h1::Error> {
         let bodiless = self.head_only || reply.status < 200 || matches!(reply.status, 204 | 304);
         if bodiless {
-            return h1::Body::sized(0, self.limit);
+            return h1::Body::sized(0, self.limit, &self.budget);
         }
         if framing.chunked {
-            return Ok(h1::Body::chunked(self.limit, self.limit));
+            return Ok(h1::Body::chunked(self.limit, self.limit, &self.budget));
         }
         if let Some(length) = framing.length {
-            return h1::Body::sized(length, self.limit);
+            return h1::Body::sized(length, self.limit, &self.budget);
         }
         reply.close = true;
-        Ok(h1::Body::until_close(self.limit))
+        Ok(h1::Body::until_close(self.limit, &self.budget))
     }
 }
 
--- a/crates/geraniumgauge/src/h1/request.rs
+++ b/crates/geraniumgauge/src/h1/request.rs
@@ -7,6 +7,7 @@
 use crate::h1;
 use crate::h1::head;
 use crate::h1::scan;
+use crate::memory;
 use crate::rate;
 
 /// A caller's complete request.
@@ -39,6 +40,8 @@
     names: h1::Names,
     head_limit: rate::Bytes,
     body_limit: rate::Bytes,
+    /// What bodies take up memory from.
+    budget: memory::Budget,
     /// The head that is being read.
     scan: scan::Scan,
     reading: Option<Reading>,
@@ -60,22 +63,39 @@
             names,
             head_limit,
             body_limit,
+            budget: memory::Budget::unlimited(),
             scan: scan::Scan::new(scan::Kind::Head),
             reading: None,
         }
     }
 
+    /// Sets the budget that bodies take up memory from.
+    pub fn with_budget(self, budget: memory::Budget) -> Self {
+        Self { budget, ..self }
+    }
+
     /// Sets the limits for requests whose head hasn't been read yet.
     pub fn limit(&mut self, head: rate::Bytes, body: rate::Bytes) {
         self.head_limit = head;
         self.body_limit = body;
     }
 
+    /// Drops the request that is being read.
+    pub fn discard(&mut self) {
+        self.reading = None;
+    }
+
     /// Returns whether a head was read and its body isn't complete.
     pub fn in_body(&self) -> bool {
         self.reading.is_some()
     }
 
+    /// Returns the request whose body is being read.
+    pub fn reading(&self) -> Option<(&Request, &h1::Body)> {
+        let reading = self.reading.as_ref();
+        reading.map(|reading| (&reading.request, &reading.body))
+    }
+
     /// Returns whether the caller waits for `100 Continue`. True at most once per
     /// request.
     pub fn expects_continue(&mut self) -> bool {
@@ -126,9 +146,11 @@
             expects_continue |= self.add_header(&mut request, header, &framing)?;
         }
         let body = match framing.length {
-            Some(length) => h1::Body::sized(length, self.body_limit)?,
-            None if framing.chunked => h1::Body::chunked(self.body_limit, self.head_limit),
-            None => h1::Body::sized(0, self.body_limit)?,
+            Some(length) => h1::Body::sized(length, self.body_limit, &self.budget)?,
+            None if framing.chunked => {
+                h1::Body::chunked(self.body_limit, self.head_limit, &self.budget)
+            }
+            None => h1::Body::sized(0, self.body_limit, &self.budget)?,
         };
         Ok(Reading {
             request,
--- a/crates/geraniumgauge/src/lib.rs
+++ b/crates/geraniumgauge/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ledger;
 pub mod logs;
 pub mod member;
+pub mod memory;
 pub mod mesh;
 pub mod metrics;
 pub mod quarantine;
