Edge: slow connections make room for new ones

What callers saw: beside 3,900 clients that send a byte a second of a body or of a head, or 6,000 that send nothing, 329 to 358 of 475 ordinary requests were served: their connections were closed as they came.

Cause: when all connections were in use, the newest was closed, which is that of an ordinary caller; slow ones stayed.

Change: a new connection gets the place of others: of requests that have been arriving, and answers that have been going, for over 250 ms, the longest first; then of the longest idle; then of the oldest of the recent ones. A connection whose request runs keeps its place. A 64th of the places is freed at a time, so that a flood doesn't cost a search for each connection.

Tests: a_slow_request_makes_room_for_a_new_connection, an_idle_connection_goes_before_a_recent_one and a_running_request_is_never_ended; before, enter() returned None in the first two.

--- a/crates/geraniumgauge/src/edge/overload.rs
+++ b/crates/geraniumgauge/src/edge/overload.rs
@@ -19,12 +19,15 @@
     /// A connection was ended to make room for others' messages.
     #[display("ended_for_memory")]
     EndedForMemory,
+    /// A connection was ended to make room for other connections.
+    #[display("ended_for_connections")]
+    EndedForConnections,
     /// A new connection was closed, as none of the others could be ended.
     #[display("connection_closed")]
     ConnectionClosed,
 }
 
-const CAUSES: usize = 3;
+const CAUSES: usize = 4;
 
 /// What was refused or ended so far. Clones share the counts.
 #[derive(Debug, Clone)]
--- a/crates/geraniumgauge/src/edge/places.rs
+++ b/crates/geraniumgauge/src/edge/places.rs
@@ -15,6 +15,11 @@
 use crate::memory;
 use crate::rate;
 
+/// How long a request or an answer may take before it counts as slow.
+const SLOW_AFTER: time::Duration = time::Duration::from_millis(250);
+/// Part of the places that is freed at once when there is none: one in this many. Ending them
+/// one by one would mean a search through all of them for each new connection.
+const FREED_PART: usize = 64;
 /// Rate below which a message makes room for others.
 const STALLED_RATE: rate::BytesPerSecond = rate::BytesPerSecond(64.0 * 1024.0);
 /// Bytes that each message has ahead of its first byte.
@@ -39,6 +44,15 @@
     Idle,
 }
 
+/// The order in which connections end when there are too many; the first ones go first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    SlowRequest,
+    SlowAnswer,
+    Idle,
+    Recent,
+}
+
 /// The places of all connections of a listener. Clones share them.
 #[derive(Debug, Clone)]
 pub(super) struct Places {
@@ -112,7 +126,7 @@
     pub(super) fn enter(&self) -> Option<Place> {
         let now = tokio::time::Instant::now();
         let shared = &self.shared;
-        if self.len() - shared.ending.get() >= shared.max {
+        if self.len() - shared.ending.get() >= shared.max && !self.end_slowest(now) {
             let open = self.len();
             let cause = overload::Cause::ConnectionClosed;
             shared
@@ -138,6 +152,36 @@
         })
     }
 
+    /// Ends the connections that go first, as many as [`FREED_PART`] says. Returns whether
+    /// there was one.
+    fn end_slowest(&self, now: tokio::time::Instant) -> bool {
+        let entries = self.shared.entries.borrow();
+        let ranked = entries.values().filter_map(|entry| {
+            let rank = entry.rank(now)?;
+            Some((rank, entry.since.get(), entry))
+        });
+        let mut ranked: Vec<_> = ranked.collect();
+        let Some(first) = ranked.iter().map(|(rank, _, _)| *rank).min() else {
+            return false;
+        };
+        ranked.retain(|(rank, _, _)| *rank == first);
+        let count = (self.shared.max / FREED_PART).clamp(1, ranked.len());
+        if count < ranked.len() {
+            ranked.select_nth_unstable_by_key(count, |(_, since, _)| *since);
+        }
+        for (_, since, entry) in &ranked[..count] {
+            let cause = overload::Cause::EndedForConnections;
+            let stage = entry.stage.get();
+            let age = (now - *since).as_millis();
+            self.end(
+                entry,
+                cause,
+                format_args!("{stage:?} for {age} ms; {} connections", entries.len()),
+            );
+        }
+        true
+    }
+
     /// Makes room for a message that lacks `missing` bytes, by ending connections whose messages
     /// hardly come or go, and more slowly than that of `own`, the message's connection, if it has
     /// a place.
@@ -257,6 +301,20 @@
         self.ended.get().is_none() && self.stage.get() != Stage::Running
     }
 
+    fn rank(&self, now: tokio::time::Instant) -> Option<Rank> {
+        if !self.may_end() {
+            return None;
+        }
+        let is_slow = now - self.since.get() >= SLOW_AFTER;
+        match self.stage.get() {
+            Stage::New | Stage::Receiving if is_slow => Some(Rank::SlowRequest),
+            Stage::Answering if is_slow => Some(Rank::SlowAnswer),
+            Stage::Idle => Some(Rank::Idle),
+            Stage::New | Stage::Receiving | Stage::Answering => Some(Rank::Recent),
+            Stage::Running => None,
+        }
+    }
+
     /// Returns the rate at which the message comes or goes.
     fn rate(&self, now: tokio::time::Instant) -> rate::BytesPerSecond {
         self.pace.get().rate(now)
--- a/crates/geraniumgauge/src/edge/tests/places.rs
+++ b/crates/geraniumgauge/src/edge/tests/places.rs
@@ -43,6 +43,56 @@
         .is_ok()
 }
 
+/// Guards against a crowd of slow clients that takes all connections, so that each new caller
+/// is turned away.
+#[test]
+fn a_slow_request_makes_room_for_a_new_connection() {
+    run(async {
+        let places = places(4);
+        let idle = enter(&places, places::Stage::Idle);
+        wait(9000).await;
+        let running = enter(&places, places::Stage::Receiving);
+        running.start_running();
+        let slow = enter(&places, places::Stage::Receiving);
+        wait(300).await;
+        let recent = enter(&places, places::Stage::Receiving);
+        let new = places.enter();
+        assert!(new.is_some());
+        assert!(is_ended(&slow).await);
+        for other in [&idle, &running, &recent] {
+            assert!(!is_ended(other).await);
+        }
+    });
+}
+
+/// Guards against a crowd of idle connections that makes a VM end those that have just come.
+#[test]
+fn an_idle_connection_goes_before_a_recent_one() {
+    run(async {
+        let places = places(2);
+        let idle = enter(&places, places::Stage::Idle);
+        let recent = places.enter().expect("a place");
+        assert!(places.enter().is_some());
+        assert!(is_ended(&idle).await);
+        assert!(!is_ended(&recent).await);
+    });
+}
+
+/// Guards against a running request that is cut for a new connection, though it may have run.
+#[test]
+fn a_running_request_is_never_ended() {
+    run(async {
+        let places = places(1);
+        let running = enter(&places, places::Stage::Receiving);
+        running.start_running();
+        wait(60_000).await;
+        assert!(places.enter().is_none());
+        assert!(!is_ended(&running).await);
+        drop(running);
+        assert!(places.enter().is_some());
+    });
+}
+
 /// A connection whose message holds a part of the budget.
 struct Holder {
     place: places::Place,
