Operators: connections are counted, and a request comes within three seconds

What operators saw: beside thousands of clients that send a byte now and then to the address that says ready, all descriptors were in use and the platform's probes got no answer, so it took the VM out.

Cause: the listener counted no connections, and a byte in 30 s kept one.

--- a/crates/geraniumgauge/src/edge/operators.rs
+++ b/crates/geraniumgauge/src/edge/operators.rs
@@ -9,15 +9,24 @@
 
 use crate::edge;
 use crate::edge::engine;
+use crate::edge::places;
 use crate::edge::server;
 use crate::h1;
+use crate::memory;
 use crate::metrics;
 use crate::rate;
 
+/// Buffer space for each read.
+const READ_BUFFER_SIZE: usize = 512;
 /// Largest head and largest body of a request. Probes send a few header lines.
 const MAX_REQUEST: rate::Bytes = rate::Bytes(8 << 10);
-/// Timeout of each read of a request, and of writing an answer.
+/// Timeout of writing an answer, and of the pause between two requests.
 const IO_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Time within which a whole request comes.
+const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// Maximum number of connections: many more than balancers and collectors of metrics have, so
+/// that their requests are read before their connections make room for others.
+const MAX_CONNECTIONS: usize = 256;
 
 /// The operators' HTTP server. `/readyz` answers 200 while the VM is ready, `/healthz`
 /// always, and `/metrics` with the metrics.
@@ -25,12 +34,19 @@
 pub struct Operators {
     engine: edge::Engine,
     metrics: metrics::Metrics,
+    places: places::Places,
 }
 
 impl Operators {
     /// Creates a server for `engine` and `metrics`.
     pub fn new(engine: edge::Engine, metrics: metrics::Metrics) -> Self {
-        Self { engine, metrics }
+        let overload = engine.places().overload().clone();
+        let budget = memory::Budget::unlimited();
+        Self {
+            engine,
+            metrics,
+            places: places::Places::new(MAX_CONNECTIONS, budget, overload),
+        }
     }
 
     /// Listens on `address` and serves requests until the process ends.
@@ -39,11 +55,14 @@
     /// If listening on the address fails.
     pub async fn start(self, address: net::SocketAddr) -> std::io::Result<()> {
         let listener = tokio::net::TcpListener::bind(address).await?;
+        server::limit_buffers(&listener, self.engine.capacity().socket_buffer);
         tokio::task::spawn_local(async move {
             loop {
                 match listener.accept().await {
                     Ok((stream, _)) => {
-                        tokio::task::spawn_local(self.clone().serve(stream));
+                        if let Some(place) = self.places.enter() {
+                            tokio::task::spawn_local(self.clone().serve(stream, place));
+                        }
                     }
                     Err(error) => {
                         log::warn!(error:% = error; "operator's connection not accepted");
@@ -55,14 +74,28 @@
         Ok(())
     }
 
-    async fn serve(self, mut stream: tokio::net::TcpStream) {
+    /// Serves a connection until it ends, or has to make room for others.
+    async fn serve(self, stream: tokio::net::TcpStream, place: places::Place) {
+        tokio::select! {
+            () = self.answer_requests(stream, &place) => {}
+            () = place.ended() => {}
+        }
+    }
+
+    async fn answer_requests(&self, mut stream: tokio::net::TcpStream, place: &places::Place) {
         let mut codec = h1::RequestCodec::new(*self.engine.names(), MAX_REQUEST, MAX_REQUEST);
         let mut buffer = bytes::BytesMut::new();
+        let mut until = tokio::time::Instant::now() + REQUEST_TIMEOUT;
         loop {
             let request = match codec.decode(&mut buffer) {
                 Ok(Some(request)) => request,
                 Ok(None) => {
-                    let read = tokio::time::timeout(IO_TIMEOUT, stream.read_buf(&mut buffer)).await;
+                    buffer.reserve(READ_BUFFER_SIZE);
+                    let read = tokio::time::timeout_at(until, stream.read_buf(&mut buffer)).await;
+                    let now = tokio::time::Instant::now();
+                    if place.set_stage(places::Stage::Receiving, now) {
+                        until = now + REQUEST_TIMEOUT;
+                    }
                     if !matches!(read, Ok(Ok(count)) if count > 0) {
                         return;
                     }
@@ -73,12 +106,18 @@
                     return;
                 }
             };
+            place.set_stage(places::Stage::Answering, tokio::time::Instant::now());
             let answer = self.answer(&request);
             let write = stream.write_all(&answer);
             let written = tokio::time::timeout(IO_TIMEOUT, write).await;
             if request.close || !matches!(written, Ok(Ok(()))) {
                 return;
             }
+            let now = tokio::time::Instant::now();
+            place.set_stage(places::Stage::Idle, now);
+            until = now + IO_TIMEOUT;
+            // Otherwise many requests sent ahead would delay those of others.
+            tokio::task::yield_now().await;
         }
     }
 
