Edge: messages that are long to decode have their turn beside others

What callers saw: beside 1,500 callers that send heads of 4,000 short fields, ordinary requests took 620 ms in the middle (6 alone); beside 300 that send bodies in chunks of one byte, 636 ms; beside 300 that send 3,000 requests ahead, up to 810 ms.

Cause: a connection went on for as long as it had bytes, up to the runtime's budget of 128 operations, and each head was parsed as it came.

Change: other tasks run between two requests that were sent ahead, and after each read of a message in many pieces. Four heads over 2 KiB are decoded in a turn of all tasks; the others wait in line, and small ones don't.

--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -101,6 +101,10 @@
                 return self.linger().await;
             }
             self.has_answered = true;
+            if !self.buffer.is_empty() {
+                // Otherwise many requests sent ahead would delay those of other callers.
+                tokio::task::yield_now().await;
+            }
         }
     }
 
--- a/crates/geraniumgauge/src/edge/caller/receive.rs
+++ b/crates/geraniumgauge/src/edge/caller/receive.rs
@@ -21,6 +21,8 @@
 const READ_AHEAD_SIZE: usize = 64;
 /// How many bytes of later requests are read while one is in progress.
 const MAX_READ_AHEAD: usize = 16 << 10;
+/// Number of reads of a message after which other connections have their turn.
+const READS_PER_TURN: u32 = 2;
 /// Number of times that room is made for the same bytes before the request is refused.
 const MAX_ROOM_ATTEMPTS: u32 = 8;
 
@@ -62,11 +64,12 @@
     pub(super) async fn next(&mut self) -> Next {
         let mut began = Began::default();
         let mut room_attempts = 0;
+        let mut reads = 0;
         loop {
             // A configuration may have come while the connection was idle.
             let limits = self.limits();
             self.codec.limit(limits.max_head, limits.max_body);
-            match self.codec.decode(&mut self.buffer) {
+            match self.decode().await {
                 Ok(Some(request)) => return self.admit(request).await,
                 Ok(None) => {}
                 Err(h1::Error::NoMemory(exhausted)) => {
@@ -81,13 +84,17 @@
             if let Err(exhausted) = self.charge_with_room(None).await {
                 return self.out_of_memory(self.request_id(), exhausted);
             }
+            if reads > READS_PER_TURN {
+                // Otherwise a message in many pieces would delay those of other callers.
+                tokio::task::yield_now().await;
+            }
             if self.codec.expects_continue() && self.send_continue().await.is_err() {
                 return Next::End;
             }
             let is_idle = self.buffer.is_empty() && !self.codec.in_body();
             let until = self.read_until(&mut began, &limits);
             match self.read(until, is_idle).await {
-                Read::Bytes => {}
+                Read::Bytes => reads += 1,
                 Read::Closed => return Next::End,
                 Read::TimedOut if is_idle => return Next::End,
                 Read::TimedOut => return Next::TimedOut,
@@ -97,6 +104,18 @@
         }
     }
 
+    /// Decodes what is buffered. A large head has to wait for its turn.
+    async fn decode(&mut self) -> Result<Option<h1::Request>, h1::Error> {
+        if self.codec.in_body() || self.buffer.len() <= READ_BUFFER_SIZE {
+            return self.codec.decode(&mut self.buffer);
+        }
+        let places = self.place.places().clone();
+        let _turn = places.large_turn().await;
+        let decoded = self.codec.decode(&mut self.buffer);
+        tokio::task::yield_now().await;
+        decoded
+    }
+
     /// Takes memory for the head of a complete request, and frees what it was read into.
     async fn admit(&mut self, mut request: h1::Request) -> Next {
         if request.head.len() > READ_BUFFER_SIZE {
--- a/crates/geraniumgauge/src/edge/places.rs
+++ b/crates/geraniumgauge/src/edge/places.rs
@@ -26,6 +26,8 @@
 const HEAD_START: rate::Bytes = rate::Bytes(48 << 10);
 /// Time after which earlier bytes hardly count for the rate of a message any more.
 const PACE_TIME: time::Duration = time::Duration::from_millis(500);
+/// Number of requests that are large to decode and are decoded in the same turn of all tasks.
+const LARGE_DECODED_PER_TURN: usize = 4;
 /// Number of times that other tasks may run until ended connections have freed their memory.
 const MAX_YIELDS: usize = 32;
 
@@ -70,6 +72,7 @@
     ending: cell::Cell<usize>,
     /// What ended connections still hold.
     ending_held: cell::Cell<u64>,
+    large: sync::Semaphore,
 }
 
 /// A connection's place. Dropping it frees the place.
@@ -103,6 +106,7 @@
                 last_id: cell::Cell::new(0),
                 ending: cell::Cell::new(0),
                 ending_held: cell::Cell::new(0),
+                large: sync::Semaphore::new(LARGE_DECODED_PER_TURN),
             }),
         }
     }
@@ -116,6 +120,12 @@
         &self.shared.overload
     }
 
+    /// Waits for the turn to decode a large request. While the returned turn is kept, other
+    /// large ones wait, and small ones don't.
+    pub(super) async fn large_turn(&self) -> Option<sync::SemaphorePermit<'_>> {
+        self.shared.large.acquire().await.ok()
+    }
+
     /// Returns the number of connections.
     pub(super) fn len(&self) -> usize {
         self.shared.entries.borrow().len()
