Edge: calls share the body of their request

What callers saw: large requests to replicas that stop reading took up memory for each call: a search has one for each shard.

Cause: what a socket doesn't take at once was copied into a queue for each connection.

Change: the queue has the request's own bytes; only heads and bodies of up to 16 KiB are copied, which saves a write.

--- a/crates/geraniumgauge/src/edge/call.rs
+++ b/crates/geraniumgauge/src/edge/call.rs
@@ -30,15 +30,19 @@
     pub(super) deadline: clock::Moment,
 }
 
+/// Size up to which a body is copied behind the head, which saves a write.
+const SMALL_BODY: usize = 16 << 10;
+
 impl Message {
-    /// Encodes a call to `upstream` into `out`.
+    /// Encodes a call to `upstream` into `out`. Returns the body that is to be sent after it;
+    /// empty if `out` has it.
     pub(super) fn write(
         &self,
         names: &h1::Names,
         upstream: &registry::Entry,
         now: clock::Moment,
         out: &mut Vec<u8>,
-    ) {
+    ) -> bytes::Bytes {
         use std::io::Write as _;
         out.extend_from_slice(&self.head);
         let timeout_ms = now.until(self.deadline).as_millis().max(1);
@@ -52,7 +56,11 @@
             let _ = write!(out, "content-length: {}\r\n", self.body.len());
         }
         out.extend_from_slice(b"\r\n");
+        if self.body.len() > SMALL_BODY {
+            return self.body.clone();
+        }
         out.extend_from_slice(&self.body);
+        bytes::Bytes::new()
     }
 
     /// Returns the fingerprint of the request line and body, which is the same when the
--- a/crates/geraniumgauge/src/edge/sender.rs
+++ b/crates/geraniumgauge/src/edge/sender.rs
@@ -1,6 +1,7 @@
 //! Ordered writes to a connection that don't block the caller.
 
 use std::cell;
+use std::collections;
 use std::io;
 use std::net;
 use std::rc;
@@ -26,7 +27,10 @@
 
 #[derive(Debug, Default)]
 struct Queue {
-    bytes: bytes::BytesMut,
+    /// The unsent bytes, in order.
+    parts: collections::VecDeque<bytes::Bytes>,
+    /// Number of bytes in `parts`.
+    len: usize,
     /// Whether a task is writing the queued bytes.
     writing: bool,
     /// Whether nothing can be written any more.
@@ -50,30 +54,55 @@
     /// # Errors
     /// If none of the bytes were sent, nor will be.
     pub(super) fn send(&self, bytes: &[u8]) -> io::Result<()> {
+        self.send_with_body(bytes, &bytes::Bytes::new())
+    }
+
+    /// Sends a head and a body, like [`Self::send`]. The part of the body that is queued isn't
+    /// copied.
+    ///
+    /// # Errors
+    /// If none of the bytes were sent, nor will be.
+    pub(super) fn send_with_body(&self, head: &[u8], body: &bytes::Bytes) -> io::Result<()> {
         let mut queue = self.queue.borrow_mut();
         if queue.failed {
             return Err(io::ErrorKind::BrokenPipe.into());
         }
-        if !queue.bytes.is_empty() && queue.bytes.len() + bytes.len() > MAX_QUEUED_BYTES {
+        if queue.len > 0 && queue.len + head.len() + body.len() > MAX_QUEUED_BYTES {
             return Err(io::Error::other("too many unsent bytes"));
         }
-        if queue.writing {
-            queue.bytes.extend_from_slice(bytes);
-            return Ok(());
+        let mut written = 0;
+        if !queue.writing {
+            written = self.try_write(head).map_err(|error| queue.fail(error))?;
+            if written == head.len() && !body.is_empty() {
+                match self.try_write(body) {
+                    Ok(more) => written += more,
+                    Err(error) => {
+                        // The head is sent: the task that reads reports the failure.
+                        queue.fail(error);
+                        return Ok(());
+                    }
+                }
+            }
         }
-        let written = match self.writer.try_write(bytes) {
-            Ok(written) => written,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
-            Err(error) => return Err(queue.fail(error)),
-        };
-        if written < bytes.len() {
-            queue.bytes.extend_from_slice(&bytes[written..]);
+        queue.push(bytes::Bytes::copy_from_slice(
+            &head[written.min(head.len())..],
+        ));
+        queue.push(body.slice(written.saturating_sub(head.len())..));
+        if queue.len > 0 && !queue.writing {
             queue.writing = true;
             tokio::task::spawn_local(self.clone().flush());
         }
         Ok(())
     }
 
+    /// Writes as many bytes as the socket takes at once.
+    fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        match self.writer.try_write(bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
+            written => written,
+        }
+    }
+
     /// Closes the connection for writing, and lets the system check that the other side is
     /// still there. The other side sees the end of the connection.
     ///
@@ -123,7 +152,7 @@
         let Some(error) = failure.filter(|error| error.kind() != io::ErrorKind::BrokenPipe) else {
             return Ok(());
         };
-        let unwritten = queue.bytes.len();
+        let unwritten = queue.len;
         let text = format!("{error}, while writing, with {unwritten} bytes unwritten");
         Err(io::Error::new(error.kind(), text))
     }
@@ -138,15 +167,15 @@
                 queue.failed = true;
                 return;
             }
-            match self.writer.try_write(&queue.bytes) {
-                Ok(written) => queue.bytes.advance(written),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            let written = queue.parts.front().map(|part| self.try_write(part));
+            match written.transpose() {
+                Ok(written) => queue.advance(written.unwrap_or(0)),
                 Err(error) => {
                     queue.fail(error);
                     return;
                 }
             }
-            if queue.bytes.is_empty() {
+            if queue.len == 0 {
                 queue.writing = false;
                 return;
             }
@@ -155,6 +184,25 @@
 }
 
 impl Queue {
+    fn push(&mut self, part: bytes::Bytes) {
+        if !part.is_empty() {
+            self.len += part.len();
+            self.parts.push_back(part);
+        }
+    }
+
+    /// Removes bytes of the first part.
+    fn advance(&mut self, written: usize) {
+        self.len -= written;
+        let Some(part) = self.parts.front_mut() else {
+            return;
+        };
+        part.advance(written);
+        if part.is_empty() {
+            self.parts.pop_front();
+        }
+    }
+
     /// Records that writing failed. Returns the error for the caller.
     fn fail(&mut self, error: io::Error) -> io::Error {
         let returned = io::Error::from(error.kind());
--- a/crates/geraniumgauge/src/edge/state/links.rs
+++ b/crates/geraniumgauge/src/edge/state/links.rs
@@ -238,9 +238,9 @@
         call.link = Some(link);
         let entry = &self.fleet.registry.get(call.upstream).entry;
         self.scratch.clear();
-        call.message
-            .write(&self.names, entry, now, &mut self.scratch);
-        if sender.send(&self.scratch).is_err() {
+        let message = call.message.clone();
+        let body = message.write(&self.names, entry, now, &mut self.scratch);
+        if sender.send_with_body(&self.scratch, &body).is_err() {
             // No byte of the call was sent.
             self.end(id, forward::Verdict::NotSent, now);
             self.close(link);
