Edge: a body comes at 4 KiB a second at least

Change: beyond the idle timeout a body has the time that 4 KiB a second need. The answer is 408, as for any request that doesn't come in time.

--- a/crates/geraniumgauge/src/edge/caller/receive.rs
+++ b/crates/geraniumgauge/src/edge/caller/receive.rs
@@ -1,5 +1,7 @@
 //! Receives the requests of a connection.
 
+use std::time;
+
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio_util::codec::Decoder as _;
@@ -21,6 +23,8 @@
 const READ_AHEAD_SIZE: usize = 64;
 /// How many bytes of later requests are read while one is in progress.
 const MAX_READ_AHEAD: usize = 16 << 10;
+/// Least rate at which a body comes, after the idle timeout.
+const MIN_BODY_RATE: rate::BytesPerSecond = rate::BytesPerSecond(4096.0);
 /// Number of reads of a message after which other connections have their turn.
 const READS_PER_TURN: u32 = 2;
 /// Number of times that room is made for the same bytes before the request is refused.
@@ -57,6 +61,7 @@
 #[derive(Debug, Default)]
 struct Began {
     head: Option<tokio::time::Instant>,
+    body: Option<tokio::time::Instant>,
 }
 
 impl caller::Connection {
@@ -97,7 +102,7 @@
                 Read::Bytes => reads += 1,
                 Read::Closed => return Next::End,
                 Read::TimedOut if is_idle => return Next::End,
-                Read::TimedOut => return Next::TimedOut,
+                Read::TimedOut => return self.timed_out(),
                 Read::Ended if is_idle => return Next::End,
                 Read::Ended => return Next::Ended(self.request_id()),
             }
@@ -152,9 +157,11 @@
         let reading = self.codec.reading();
         let received = reading.map_or(0, |(_, body)| body.received()) + self.buffer.len();
         if reading.is_some() {
+            let body_began = *began.body.get_or_insert(now);
+            let allowed = time::Duration::from_secs_f64(received as f64 / MIN_BODY_RATE.0);
             self.place.set_stage(places::Stage::Receiving, now);
             self.place.set_moved(rate::Bytes(received as u64), now);
-            return idle_until;
+            return idle_until.min(body_began + limits.idle_timeout + allowed);
         }
         if !self.buffer.is_empty() {
             self.place.set_stage(places::Stage::Receiving, now);
@@ -260,4 +267,15 @@
         );
         Next::NoMemory(id)
     }
+
+    fn timed_out(&self) -> Next {
+        if let Some((request, body)) = self.codec.reading() {
+            let (id, received) = (&request.id, body.received());
+            self.place.places().overload().count(
+                overload::Cause::SlowBody,
+                format_args!("request {id}: {received} bytes of its body in time"),
+            );
+        }
+        Next::TimedOut
+    }
 }
--- a/crates/geraniumgauge/src/edge/overload.rs
+++ b/crates/geraniumgauge/src/edge/overload.rs
@@ -25,9 +25,12 @@
     /// A new connection was closed, as none of the others could be ended.
     #[display("connection_closed")]
     ConnectionClosed,
+    /// A body came too slowly.
+    #[display("slow_body")]
+    SlowBody,
 }
 
-const CAUSES: usize = 4;
+const CAUSES: usize = 5;
 
 /// What was refused or ended so far. Clones share the counts.
 #[derive(Debug, Clone)]
