Mesh: messages between VMs take memory from a budget, and connections are counted

What was seen: 100 connections that state the largest frame, 17 MB, and send most of it brought a VM to 765 MB; the process was ended.

Cause: the codec reserved a frame's whole length when its prefix came, for as long as the connection stayed, and any number of connections was accepted.

Change: a codec of our own takes a frame's part of a budget before its bytes come: a sixteenth of the machine's memory for what other VMs send, the messages' budget for what relays answer. Bodies over 64 KiB aren't sent to relays, which would pass the load on to them.

--- a/crates/geraniumgauge/src/edge/capacity.rs
+++ b/crates/geraniumgauge/src/edge/capacity.rs
@@ -5,7 +5,8 @@
 //!
 //! | part | for |
 //! |---|---|
-//! | a quarter | the VM itself: program, configuration, registrations, upstreams, other VMs |
+//! | three sixteenths | the VM itself: program, configuration, registrations, upstreams |
+//! | one sixteenth | messages of other VMs |
 //! | three eighths | callers' connections: tasks and the buffers of sockets |
 //! | three sixteenths | messages: requests that arrive, run or wait, and their answers |
 //! | three sixteenths | memory that messages have freed, but that wasn't given back to the system |
@@ -20,7 +21,10 @@
 /// File descriptors not available to callers' connections: those for files, the store,
 /// upstreams, other VMs and operators.
 const RESERVED_DESCRIPTORS: u64 = 1200;
-/// Least number of callers' connections, however small the machine is.
+/// Part of the file descriptors that is for connections that other VMs open, of the reserved
+/// ones: one in this many.
+const PEER_PART: u64 = 8;
+/// Least number of connections of each kind, however small the machine is.
 const MIN_CONNECTIONS: u64 = 64;
 
 /// What callers may use of a VM.
@@ -30,6 +34,10 @@
     pub connections: usize,
     /// Maximum size of all messages together.
     pub messages: rate::Bytes,
+    /// Maximum number of connections that other VMs open.
+    pub peer_connections: usize,
+    /// Maximum size of all messages together that come over those connections.
+    pub peer_messages: rate::Bytes,
     /// Size of each buffer of a caller's socket.
     pub socket_buffer: rate::Bytes,
 }
@@ -41,9 +49,12 @@
         let by_memory = memory.0 / 8 * 3 / connection;
         let by_descriptors = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let connections = by_memory.min(by_descriptors).max(MIN_CONNECTIONS);
+        let peer_connections = (descriptors / PEER_PART).max(MIN_CONNECTIONS);
         Self {
             connections: usize::try_from(connections).unwrap_or(usize::MAX),
             messages: rate::Bytes(memory.0 / 16 * 3),
+            peer_connections: usize::try_from(peer_connections).unwrap_or(usize::MAX),
+            peer_messages: rate::Bytes(memory.0 / 16),
             socket_buffer: SOCKET_BUFFER,
         }
     }
--- a/crates/geraniumgauge/src/edge/engine.rs
+++ b/crates/geraniumgauge/src/edge/engine.rs
@@ -51,6 +51,7 @@
     names: h1::Names,
     instruments: edge::Instruments,
     places: places::Places,
+    peer_places: places::Places,
     capacity: edge::Capacity,
     /// Relays to which a task keeps a connection open.
     peers: rc::Rc<cell::RefCell<collections::HashSet<net::SocketAddr>>>,
@@ -89,6 +90,7 @@
             names,
             instruments,
             places: new_places(capacity.connections, capacity.messages),
+            peer_places: new_places(capacity.peer_connections, capacity.peer_messages),
             capacity,
             peers: rc::Rc::default(),
             crash_suspects: rc::Rc::new(cell::RefCell::new(Some(suspects_receiver))),
@@ -352,6 +354,11 @@
         &self.places
     }
 
+    /// Returns the places of the connections that other VMs open.
+    pub(super) fn peer_places(&self) -> &places::Places {
+        &self.peer_places
+    }
+
     /// Returns what callers may use of this VM.
     pub(super) fn capacity(&self) -> &edge::Capacity {
         &self.capacity
--- a/crates/geraniumgauge/src/edge/frame.rs
+++ b/crates/geraniumgauge/src/edge/frame.rs
@@ -9,12 +9,15 @@
 //! VMs also fetch each other's replicated state with [`Kind::Fetch`].
 
 mod batch;
+mod codec;
 mod report;
 mod spending;
 
 pub(super) use batch::Abandon;
 pub(super) use batch::Batch;
 pub(super) use batch::Call;
+pub(super) use codec::Codec;
+pub(super) use codec::Error;
 pub(super) use report::End;
 pub(super) use report::How;
 pub(super) use report::Reply;
--- a/crates/geraniumgauge/src/edge/state/relay.rs
+++ b/crates/geraniumgauge/src/edge/state/relay.rs
@@ -18,6 +18,10 @@
 /// Minimum delay before a relay merges replies, however early calls are hedged.
 const MIN_MERGE_DELAY: time::Duration = time::Duration::from_millis(5);
 
+/// Largest body, in bytes, that is sent to a relay. A larger one takes up memory here, at the relay
+/// and in between, and this VM can send it itself.
+const MAX_RELAYED_BODY: usize = 64 << 10;
+
 /// Properties that calls must share to be sent in one batch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Group {
@@ -120,6 +124,9 @@
             return Vec::new();
         };
         let message = running.message.clone();
+        if message.body.len() > MAX_RELAYED_BODY {
+            return sends;
+        }
         let call_time = running.job.latency().median();
         let merge_after = group.merge_after(&running.job);
         let with_address = self.relays.needs_addresses(address, now);
