--- a/crates/geraniumgauge/src/edge/tests/peers.rs
+++ b/crates/geraniumgauge/src/edge/tests/peers.rs
@@ -11,6 +11,8 @@
 use crate::edge::peers;
 use crate::edge::tests::state as world;
 use crate::h1;
+use crate::memory;
+use crate::rate;
 use crate::slow_sender;
 use crate::spread;
 use crate::spread::tests::messages;
@@ -109,3 +111,27 @@
         );
     });
 }
+
+/// Guards against connections that only announce large messages and take up memory for them, and
+/// against a message that is lost because there was no memory for it at first.
+#[test]
+fn a_message_without_memory_is_decoded_later() {
+    let body = vec![7; 100 << 10];
+    let report = frame::Report {
+        records: body.into(),
+        ..frame::Report::default()
+    };
+    let bytes = frame::Frame::bytes(frame::Kind::Report(report));
+    let budget = memory::Budget::new(rate::Bytes(200 << 10));
+    let mut others = budget.hold();
+    others.resize(rate::Bytes(100 << 10)).expect("room");
+    let mut codec = frame::Codec::new(budget.clone());
+    let mut buffer = bytes::BytesMut::from(&bytes[..10]);
+    let decoded = codec.decode(&mut buffer);
+    assert!(matches!(decoded, Err(frame::Error::NoMemory(_))));
+    drop(others);
+    buffer.extend_from_slice(&bytes[10..]);
+    let decoded = codec.decode(&mut buffer).expect("memory");
+    assert_eq!(decoded.expect("a whole message"), bytes[4..]);
+    assert_eq!(budget.used(), rate::Bytes(0));
+}
