geraniumgauged: bodies share a budget, and slow ones take no place of requests that run

What callers would see: 2,048 requests with bodies of 1 MiB are legal at the same time, 2 GiB; and as many callers that send a body slowly take the place of each request that could run, for ten seconds each.

Cause: a body was read whole into memory whatever else was held, and a request counted towards limits.requests from its head on.

Change: bodies take memory from limits.bodies_bytes (64 MiB unless set), with the buffer that the edge uses; one for which there is none is refused with 429, not run. A request counts as running once it is received.

--- a/crates/daemon/src/fields.rs
+++ b/crates/daemon/src/fields.rs
@@ -157,6 +157,18 @@
             set: |settings, value| settings.limits.max_body = rate::Bytes(value),
         },
     },
+    Field {
+        path: "limits.bodies_bytes",
+        required: false,
+        doc: "Maximum size of all request bodies together; more are refused with 429.",
+        kind: jsonc::Kind::Integer {
+            min: 2 << 10,
+            max: 1 << 40,
+            unit: "bytes",
+            get: |settings| settings.limits.max_bodies.0,
+            set: |settings, value| settings.limits.max_bodies = rate::Bytes(value),
+        },
+    },
     Field {
         path: "limits.query_bytes",
         required: false,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -126,6 +126,7 @@
     config.drain_timeout = settings.stop.grace;
     config.limits = http::Limits {
         body: settings.limits.max_body,
+        bodies: settings.limits.max_bodies,
         query: settings.limits.max_query,
         headers: settings.limits.max_headers,
         requests: settings.limits.max_concurrent_requests,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -72,6 +72,8 @@
 pub(crate) struct Limits {
     /// Maximum size of a request body.
     pub(crate) max_body: rate::Bytes,
+    /// Maximum size of all request bodies together.
+    pub(crate) max_bodies: rate::Bytes,
     /// Maximum size of the `query` of a search.
     pub(crate) max_query: rate::Bytes,
     /// Maximum total size of the headers of a request.
@@ -142,6 +144,7 @@
             },
             limits: Limits {
                 max_body: rate::Bytes(1 << 20),
+                max_bodies: rate::Bytes(64 << 20),
                 max_query: rate::Bytes(64 << 10),
                 max_headers: rate::Bytes(16 << 10),
                 max_frame: rate::Bytes(4 << 20),
@@ -187,6 +190,7 @@
     fn check_limits(&self, parsed: &mut jsonc::Reading) {
         let Limits {
             max_body,
+            max_bodies,
             max_query,
             max_frame,
             ..
@@ -199,6 +203,14 @@
                 "lower it or raise limits.body_bytes",
             );
         }
+        if max_bodies.0 < max_body.0.saturating_mul(2) {
+            let problem = format!("there is no room for two bodies of {max_body} in {max_bodies}");
+            parsed.add(
+                "limits.bodies_bytes",
+                problem,
+                "give at least twice limits.body_bytes",
+            );
+        }
         if max_frame.0 < max_body.0.saturating_add(FRAME_OVERHEAD_BYTES) {
             let problem = format!("a body of {max_body} doesn't fit in a frame of {max_frame}");
             let remedy = format!("give at least limits.body_bytes + {FRAME_OVERHEAD_BYTES}");
--- a/crates/geraniumgauge/src/http/callers.rs
+++ b/crates/geraniumgauge/src/http/callers.rs
@@ -1,18 +1,12 @@
 //! HTTP routes for callers: searches, registrations and their records.
 
-use std::time;
-
-use rocket::data;
-
-use crate::http;
+use crate::http::body;
 use crate::http::head;
 use crate::http::reply;
 use crate::ids;
 use crate::ledger;
 use crate::query;
 
-/// Longest time to read a complete body.
-const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Default of a search's `limit`.
 const DEFAULT_LIMIT: u32 = 10;
 
@@ -73,7 +67,8 @@
 ) -> reply::Reply {
     let parsed = head
         .admit()
-        .and_then(|_| Ok((parse_id(service)?, parse_id(key)?)));
+        .and_then(|_| head.start())
+        .and_then(|()| Ok((parse_id(service)?, parse_id(key)?)));
     let state = match parsed {
         Ok((service, key)) => context.backend.key_status(service, key).await,
         Err(refusal) => Err(refusal),
@@ -152,7 +147,8 @@
 ) -> Result<query::Search, query::Refusal> {
     let headers = head.admit()?;
     let service = parse_id(service)?;
-    let bytes = read_body(data, &context.limits).await?;
+    let bytes = body::read(data, headers.body_len, context).await?;
+    head.start()?;
     let body: Body =
         serde_json::from_slice(&bytes).map_err(|error| bad_request(format!("body: {error}")))?;
     let size = body.query.get().len() as u64;
@@ -198,44 +194,19 @@
         ))
     };
     let key = headers.key.clone().ok_or_else(missing)?;
-    let bytes = read_body(data, &context.limits).await?;
+    let bytes = body::read(data, headers.body_len, context).await?;
+    head.start()?;
     let parsed = serde_json::from_slice::<&serde_json::value::RawValue>(&bytes);
     parsed.map_err(|error| bad_request(format!("body: {error}")))?;
     Ok(ledger::Registration {
         request: head.request.clone(),
         service,
         key,
-        body: bytes.into(),
+        body: bytes,
         time_left: headers.time_left,
     })
 }
 
-/// Reads a body within [`BODY_TIMEOUT`]. Without the limit, a caller that sends
-/// its body slowly, or whose connection went silent, would occupy one of the
-/// allowed requests forever, and a planned stop would wait for it.
-async fn read_body(
-    data: rocket::Data<'_>,
-    limits: &http::Limits,
-) -> Result<Vec<u8>, query::Refusal> {
-    let limit = data::ByteUnit::from(limits.body.0);
-    let reading = data.open(limit).into_bytes();
-    let timed_out = |_| {
-        bad_request(format!(
-            "body: incomplete after {} s; send it without pauses",
-            BODY_TIMEOUT.as_secs()
-        ))
-    };
-    let bytes = tokio::time::timeout(BODY_TIMEOUT, reading)
-        .await
-        .map_err(timed_out)?;
-    let bytes = bytes.map_err(|error| bad_request(format!("body: can't be read: {error}")))?;
-    if !bytes.is_complete() {
-        let message = format!("body: more than {} bytes; send less", limits.body.0);
-        return Err(query::Refusal::not_run(query::Code::TooLarge, message));
-    }
-    Ok(bytes.into_inner())
-}
-
 fn parse_id<T: std::str::FromStr<Err = ids::Error>>(text: &str) -> Result<T, query::Refusal> {
     text.parse()
         .map_err(|error| bad_request(format!("path: {error}")))
--- a/crates/geraniumgauge/src/http/head.rs
+++ b/crates/geraniumgauge/src/http/head.rs
@@ -6,6 +6,7 @@
 
 use crate::http;
 use crate::ids;
+use crate::memory;
 use crate::query;
 
 /// Header with the time within which the caller needs the answer, in milliseconds.
@@ -35,6 +36,8 @@
     pub(super) key: Option<ids::Key>,
     /// Value of `Request-Id`.
     pub(super) caller_id: Option<String>,
+    /// Value of `Content-Length`.
+    pub(super) body_len: Option<usize>,
 }
 
 /// State shared by all request handlers.
@@ -42,6 +45,8 @@
     pub(super) backend: http::Shared,
     pub(super) gate: http::Gate,
     pub(super) limits: http::Limits,
+    /// What bodies take up memory from.
+    pub(super) budget: memory::Budget,
 }
 
 #[rocket::async_trait]
@@ -66,12 +71,24 @@
     /// headers are invalid.
     pub(super) fn admit(&self) -> Result<&Headers, query::Refusal> {
         if self.permit.is_none() {
-            let message = "this VM runs its maximum number of requests; retry later";
-            let refusal = query::Refusal::not_run(query::Code::Overloaded, message);
-            return Err(refusal.retry_after(time::Duration::from_secs(1)));
+            return Err(overloaded("this VM runs its maximum number of requests"));
         }
         self.headers.as_ref().map_err(Clone::clone)
     }
+
+    /// Starts to run the request, which has been received.
+    pub(super) fn start(&self) -> Result<(), query::Refusal> {
+        let started = self.permit.as_ref().is_some_and(http::gate::Permit::start);
+        let refusal = || overloaded("this VM runs its maximum number of requests");
+        started.then_some(()).ok_or_else(refusal)
+    }
+}
+
+/// Returns the refusal of a request that this VM has no room for.
+pub(super) fn overloaded(cause: &str) -> query::Refusal {
+    let message = format!("{cause}; retry later");
+    let refusal = query::Refusal::not_run(query::Code::Overloaded, message);
+    refusal.retry_after(time::Duration::from_secs(1))
 }
 
 fn read(
@@ -98,10 +115,12 @@
         .map(parse_key)
         .transpose()?;
     let caller_id = headers.get_one(REQUEST_ID).map(ToOwned::to_owned);
+    let body_len = headers.get_one("Content-Length");
     Ok(Headers {
         time_left,
         key,
         caller_id,
+        body_len: body_len.and_then(|len| len.parse().ok()),
     })
 }
 
--- a/crates/geraniumgauge/src/http/mod.rs
+++ b/crates/geraniumgauge/src/http/mod.rs
@@ -5,6 +5,7 @@
 //! moment loses its request. So a stopping VM first sends `Connection: close` with
 //! its answers (see [`Gate`]) and shuts rocket down once no request is running.
 
+mod body;
 mod callers;
 mod gate;
 mod head;
@@ -28,6 +29,8 @@
 pub struct Limits {
     /// Largest request body.
     pub body: rate::Bytes,
+    /// Largest size of all request bodies together; further ones are refused.
+    pub bodies: rate::Bytes,
     /// Largest `query` value in a body.
     pub query: rate::Bytes,
     /// Largest size of all headers together.
@@ -42,6 +45,7 @@
     fn default() -> Self {
         Self {
             body: rate::Bytes(256 << 10),
+            bodies: rate::Bytes(64 << 20),
             query: rate::Bytes(64 << 10),
             headers: rate::Bytes(16 << 10),
             requests: 2048,
--- a/crates/geraniumgauge/src/http/server.rs
+++ b/crates/geraniumgauge/src/http/server.rs
@@ -8,6 +8,7 @@
 use crate::http::callers;
 use crate::http::head;
 use crate::http::operators;
+use crate::memory;
 
 /// Time in which rocket lets running requests finish after it stopped listening, in
 /// seconds. The requests have ended by then (see [`http::Gate::idle`]), but the last
@@ -55,6 +56,7 @@
                 backend,
                 gate,
                 limits,
+                budget: memory::Budget::new(limits.bodies),
             });
         Self::launch(address, rocket).await
     }
@@ -76,6 +78,7 @@
                 backend,
                 gate,
                 limits,
+                budget: memory::Budget::new(limits.bodies),
             });
         Self::launch(address, rocket).await
     }
--- a/crates/geraniumgauge/src/http/tests.rs
+++ b/crates/geraniumgauge/src/http/tests.rs
@@ -217,7 +217,7 @@
     let reply = site.post(SEARCH, "{\"query\": \"panic\"}").await;
     assert_eq!(refusal(&reply), (500, "internal", "unknown"));
     assert_eq!(site.post(SEARCH, "{\"query\": 1}").await.0, 200);
-    assert_eq!(site.gate.running(), 0);
+    assert_eq!(site.gate.inside(), 0);
 }
 
 #[tokio::test]
@@ -279,6 +279,7 @@
     })
     .await;
     let held = site.gate.enter().unwrap();
+    assert!(held.start());
     let reply = site.post(SEARCH, "{\"query\": 1}").await;
     assert_eq!(refusal(&reply), (429, "overloaded", "no"));
     drop(held);
@@ -342,3 +343,53 @@
     assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
     site.gate.idle().await;
 }
+
+/// Guards against callers that send their bodies slowly and so take up all requests that may run.
+#[tokio::test]
+async fn a_request_that_is_being_received_leaves_room_to_run() {
+    let site = site(Limits {
+        requests: 1,
+        ..Limits::default()
+    })
+    .await;
+    let slow = site.gate.enter().unwrap();
+    assert_eq!(site.post(SEARCH, "{\"query\": 1}").await.0, 200);
+    assert!(slow.start());
+    let reply = site.post(SEARCH, "{\"query\": 1}").await;
+    assert_eq!(refusal(&reply), (429, "overloaded", "no"));
+}
+
+/// Guards against bodies of legal size that together take up more memory than the VM has.
+#[tokio::test]
+async fn bodies_beyond_the_memory_for_all_are_refused() {
+    let site = site(Limits {
+        bodies: crate::rate::Bytes(300 << 10),
+        ..Limits::default()
+    })
+    .await;
+    let body = format!("{{\"query\": 1}}{}", " ".repeat(200 << 10));
+    assert_eq!(site.post(SEARCH, &body).await.0, 200);
+    let mut holders = Vec::new();
+    for _ in 0..2 {
+        let connecting = tokio::net::TcpStream::connect(site.callers.address());
+        let mut stream = connecting.await.unwrap();
+        let head = format!("POST {SEARCH} HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&[b' '; 100_000]).await.unwrap();
+        holders.push(stream);
+    }
+    // One of the holders is refused, and the other one holds its body.
+    let (mut one, mut other) = ([0; 12], [0; 12]);
+    let (first, second) = holders.split_at_mut(1);
+    let answer = tokio::select! {
+        read = first[0].read_exact(&mut one) => read.map(|_| &one),
+        read = second[0].read_exact(&mut other) => read.map(|_| &other),
+    };
+    assert_eq!(answer.unwrap(), b"HTTP/1.1 429");
+    assert_eq!(site.post(SEARCH, "{\"query\": 1}").await.0, 200);
+    drop(holders);
+    while site.gate.inside() > 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(site.post(SEARCH, &body).await.0, 200);
+}
