--- a/crates/geraniumgauge/src/edge/caller.rs
+++ b/crates/geraniumgauge/src/edge/caller.rs
@@ -43,6 +43,8 @@
     /// The part of the budget for what is buffered.
     hold: memory::Hold,
     codec: h1::RequestCodec,
+    /// Size of the head of the request that runs.
+    running_head: usize,
     /// Whether a request was answered.
     has_answered: bool,
     done: rc::Rc<sync::Notify>,
@@ -66,6 +68,7 @@
             stream,
             place,
             buffer: bytes::BytesMut::new(),
+            running_head: 0,
             has_answered: false,
             done: rc::Rc::new(sync::Notify::new()),
             timer: Box::pin(tokio::time::sleep(time::Duration::ZERO)),
--- a/crates/geraniumgauge/src/edge/caller/receive.rs
+++ b/crates/geraniumgauge/src/edge/caller/receive.rs
@@ -67,6 +67,7 @@
 impl caller::Connection {
     /// Receives the next request.
     pub(super) async fn next(&mut self) -> Next {
+        self.running_head = 0;
         let mut began = Began::default();
         let mut room_attempts = 0;
         let mut reads = 0;
@@ -86,7 +87,7 @@
                 }
                 Err(error) => return Next::Bad(error),
             }
-            if let Err(exhausted) = self.charge_with_room(None).await {
+            if let Err(exhausted) = self.charge_with_room().await {
                 return self.out_of_memory(self.request_id(), exhausted);
             }
             if reads > READS_PER_TURN {
@@ -127,26 +128,24 @@
             request.head.shrink_to_fit();
             self.buffer = bytes::BytesMut::from(&self.buffer[..]);
         }
-        match self.charge_with_room(Some(&request)).await {
+        self.running_head = request.head.capacity();
+        match self.charge_with_room().await {
             Ok(()) => Next::Request(request),
             Err(exhausted) => self.out_of_memory(request.id, exhausted),
         }
     }
 
     /// Takes memory as [`Self::charge`] does, and makes room for it if need be.
-    async fn charge_with_room(
-        &mut self,
-        request: Option<&h1::Request>,
-    ) -> Result<(), memory::Exhausted> {
+    async fn charge_with_room(&mut self) -> Result<(), memory::Exhausted> {
         for _ in 0..MAX_ROOM_ATTEMPTS {
-            let Err(exhausted) = self.charge(request) else {
+            let Err(exhausted) = self.charge() else {
                 return Ok(());
             };
             if !self.make_room(exhausted).await {
                 return Err(exhausted);
             }
         }
-        self.charge(request)
+        self.charge()
     }
 
     /// Returns when the next bytes must have come, and notes what the connection does until
@@ -216,15 +215,14 @@
             return false;
         }
         self.buffer.reserve(READ_AHEAD_SIZE);
-        self.charge(None).is_ok()
+        self.charge().is_ok()
     }
 
-    /// Takes memory for what is buffered, and for the head of a request, beyond what each
-    /// connection has.
-    fn charge(&mut self, request: Option<&h1::Request>) -> Result<(), memory::Exhausted> {
+    /// Takes memory for what is buffered, and for the heads of the request that is received and
+    /// of the one that runs, beyond what each connection has.
+    fn charge(&mut self) -> Result<(), memory::Exhausted> {
         let reading = self.codec.reading();
-        let head = request.or(reading.map(|(request, _)| request));
-        let head = head.map_or(0, |request| request.head.capacity());
+        let head = reading.map_or(self.running_head, |(request, _)| request.head.capacity());
         let buffered = self.buffer.capacity() + head;
         let extra = buffered.saturating_sub(2 * READ_BUFFER_SIZE) as u64;
         if extra != self.hold.held().0 {
--- a/crates/geraniumgauge/src/edge/link.rs
+++ b/crates/geraniumgauge/src/edge/link.rs
@@ -13,6 +13,7 @@
 use crate::edge::receiver;
 use crate::edge::state;
 use crate::h1;
+use crate::memory;
 use crate::rate;
 
 /// Timeout of connecting to an upstream or a VM. A host that is powered off never
@@ -24,6 +25,9 @@
 /// How long sent bytes may stay unacknowledged before the connection fails. A
 /// connection may stay dead while new ones to the same host work.
 pub(super) const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+/// How long, and how often at most, a reply waits for memory before its call fails.
+const ROOM_WAIT: time::Duration = time::Duration::from_millis(10);
+const MAX_ROOM_WAITS: u32 = 100;
 /// Send buffer of a connection to an upstream, in bytes.
 const SEND_BUFFER_SIZE: usize = 64 << 10;
 /// Initial size of the read buffer, enough for a typical reply.
@@ -66,9 +70,9 @@
 
     /// Reads replies until the connection ends.
     async fn read(&self, mut receiver: receiver::Receiver) -> Result<(), h1::Error> {
-        let places = self.engine.places();
+        let budget = self.engine.places().budget().clone();
         let codec = h1::ReplyCodec::new(*self.engine.names(), MAX_REPLY);
-        let mut codec = codec.with_budget(places.budget().clone());
+        let mut codec = codec.with_budget(budget);
         let mut buffer = bytes::BytesMut::new();
         loop {
             buffer.reserve(codec.missing().clamp(READ_BUFFER_SIZE, MAX_READ_SIZE));
@@ -88,9 +92,7 @@
                 let reply = match decoded {
                     Ok(Some(reply)) => reply,
                     Ok(None) => break,
-                    Err(h1::Error::NoMemory(exhausted))
-                        if places.make_room(None, exhausted.missing).await =>
-                    {
+                    Err(h1::Error::NoMemory(exhausted)) if self.wait_for_room(exhausted).await => {
                         continue;
                     }
                     Err(error) => return Err(error),
@@ -115,6 +117,22 @@
     }
 }
 
+impl Opening {
+    /// Waits until there is memory for a reply, while others' answers go. Returns whether there
+    /// may be.
+    async fn wait_for_room(&self, exhausted: memory::Exhausted) -> bool {
+        let places = self.engine.places();
+        for _ in 0..MAX_ROOM_WAITS {
+            let room_made = places.make_room(None, exhausted.missing).await;
+            if room_made || places.budget().has_room_for(exhausted.missing) {
+                return true;
+            }
+            tokio::time::sleep(ROOM_WAIT).await;
+        }
+        false
+    }
+}
+
 /// Opens a connection to an upstream or another VM.
 pub(super) async fn connect(address: net::SocketAddr) -> io::Result<tokio::net::TcpStream> {
     let connect = tokio::net::TcpStream::connect(address);
--- a/crates/geraniumgauge/src/edge/peers.rs
+++ b/crates/geraniumgauge/src/edge/peers.rs
@@ -1,13 +1,13 @@
 //! The tasks that serve connections between VMs.
 
+mod messages;
+
 use std::io;
 use std::net;
 use std::time;
 
-use prost::Message as _;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
-use tokio::net::tcp;
 use tokio_util::codec::Decoder as _;
 
 use crate::edge;
@@ -31,10 +31,6 @@
 const ANSWER_IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
 /// Buffer space for each read of an answer, in bytes.
 const ANSWER_READ_SIZE: usize = 16 << 10;
-/// Buffer space for each read of other messages, in bytes.
-const READ_SIZE: usize = 8 << 10;
-/// Time within which a whole message of a VM comes.
-const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
 /// Keeps a connection to a relay open while it is needed.
 pub(super) async fn maintain(engine: edge::Engine, address: net::SocketAddr) {
@@ -44,7 +40,7 @@
                 let (reader, writer) = stream.into_split();
                 let sender = sender::Sender::new(writer);
                 engine.with(|state, now| state.peer_connected(address, sender, now));
-                let mut messages = Messages::new(&engine, reader, None);
+                let mut messages = messages::Messages::new(&engine, reader, None);
                 read(&mut messages, |kind| match kind {
                     frame::Kind::Report(report) => {
                         engine.with(|state, now| state.report_received(address, report, now));
@@ -110,7 +106,7 @@
     // The connection of a fetch always ends after it, which isn't worth logging.
     let mut log_end = true;
     let mut slot = None;
-    let mut messages = Messages::new(&engine, reader, Some(place));
+    let mut messages = messages::Messages::new(&engine, reader, Some(place));
     let error = read(&mut messages, |kind| match kind {
         frame::Kind::Batch(batch) => {
             engine.with(|state, now| state.batch_received(peer, batch, now))
@@ -171,7 +167,7 @@
         }
         while let Some(bytes) = codec.decode(&mut buffer)? {
             // A VM that is stopping sends `GoAway` first.
-            if let Some(frame::Kind::Answer(answer)) = decode(bytes)?.kind {
+            if let Some(frame::Kind::Answer(answer)) = messages::decode(bytes)?.kind {
                 return Ok(answer.into());
             }
         }
@@ -183,115 +179,8 @@
     frame::Codec::new(memory::Budget::unlimited())
 }
 
-fn decode(bytes: bytes::Bytes) -> io::Result<frame::Frame> {
-    let decoded = frame::Frame::decode(bytes);
-    decoded.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
-}
-
-/// The messages that come over a connection.
-struct Messages {
-    reader: tcp::OwnedReadHalf,
-    codec: frame::Codec,
-    buffer: bytes::BytesMut,
-    /// Where room is made for large messages.
-    places: places::Places,
-    /// The place of a connection that another VM opened.
-    place: Option<places::Place>,
-}
-
-impl Messages {
-    fn new(
-        engine: &edge::Engine,
-        reader: tcp::OwnedReadHalf,
-        place: Option<places::Place>,
-    ) -> Self {
-        let places = place.as_ref().map(places::Place::places);
-        let places = places.unwrap_or(engine.places()).clone();
-        Self {
-            reader,
-            codec: frame::Codec::new(places.budget().clone()),
-            buffer: bytes::BytesMut::new(),
-            places,
-            place,
-        }
-    }
-
-    /// Waits for a message and appends it and all others that have arrived with it.
-    ///
-    /// # Errors
-    /// If the connection has ended.
-    async fn receive(&mut self, messages: &mut Vec<frame::Kind>) -> io::Result<()> {
-        loop {
-            self.decode(messages).await?;
-            let is_between = self.buffer.is_empty() && !self.codec.is_reading();
-            // Mostly one message arrives at a time, and asking for more would cost another
-            // system call for nothing.
-            if !messages.is_empty() && is_between {
-                return Ok(());
-            }
-            self.buffer.reserve(READ_SIZE);
-            let count = if messages.is_empty() {
-                self.read(is_between).await?
-            } else {
-                match self.reader.try_read_buf(&mut self.buffer) {
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                    count => count?,
-                }
-            };
-            if count == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-    }
-
-    /// Appends the messages that are complete.
-    async fn decode(&mut self, messages: &mut Vec<frame::Kind>) -> io::Result<()> {
-        loop {
-            match self.codec.decode(&mut self.buffer) {
-                Ok(Some(bytes)) => messages.extend(decode(bytes)?.kind),
-                Ok(None) => return Ok(()),
-                Err(frame::Error::NoMemory(exhausted))
-                    if self
-                        .places
-                        .make_room(self.place.as_ref(), exhausted.missing)
-                        .await => {}
-                Err(error) => return Err(error.into()),
-            }
-        }
-    }
-
-    /// Waits for bytes. `is_between` is set between two messages.
-    async fn read(&mut self, is_between: bool) -> io::Result<usize> {
-        let Some(place) = &self.place else {
-            return self.reader.read_buf(&mut self.buffer).await;
-        };
-        let now = tokio::time::Instant::now();
-        if !is_between {
-            place.set_stage(places::Stage::Receiving, now);
-            let read = self.reader.read_buf(&mut self.buffer);
-            return tokio::select! {
-                biased;
-                read = tokio::time::timeout(MESSAGE_TIMEOUT, read) => read?,
-                () = place.ended() => Err(io::ErrorKind::QuotaExceeded.into()),
-            };
-        }
-        tokio::select! {
-            biased;
-            read = self.reader.read_buf(&mut self.buffer) => read,
-            () = place.ended() => Err(io::ErrorKind::QuotaExceeded.into()),
-        }
-    }
-
-    /// Notes that the messages were handled.
-    fn handled(&self) {
-        if let Some(place) = &self.place {
-            place.set_stage(places::Stage::Idle, tokio::time::Instant::now());
-        }
-    }
-}
-
 /// Passes messages to `handle` until the connection ends, and returns the cause.
-async fn read(messages: &mut Messages, mut handle: impl FnMut(frame::Kind)) -> io::Error {
+async fn read(messages: &mut messages::Messages, mut handle: impl FnMut(frame::Kind)) -> io::Error {
     let mut kinds = Vec::new();
     loop {
         let ended = messages.receive(&mut kinds).await;
--- a/crates/geraniumgauge/src/edge/places.rs
+++ b/crates/geraniumgauge/src/edge/places.rs
@@ -4,6 +4,8 @@
 //! Room is made by ending those connections that make the least progress: incomplete requests,
 //! answers that aren't read, and idle connections. A request that runs is never ended.
 
+mod pace;
+
 use std::cell;
 use std::collections;
 use std::rc;
@@ -22,10 +24,6 @@
 const FREED_PART: usize = 64;
 /// Rate below which a message makes room for others.
 const STALLED_RATE: rate::BytesPerSecond = rate::BytesPerSecond(64.0 * 1024.0);
-/// Bytes that each message has ahead of its first byte.
-const HEAD_START: rate::Bytes = rate::Bytes(48 << 10);
-/// Time after which earlier bytes hardly count for the rate of a message any more.
-const PACE_TIME: time::Duration = time::Duration::from_millis(500);
 /// Number of requests that are large to decode and are decoded in the same turn of all tasks.
 const LARGE_DECODED_PER_TURN: usize = 4;
 /// Number of times that other tasks may run until ended connections have freed their memory.
@@ -88,7 +86,7 @@
     stage: cell::Cell<Stage>,
     since: cell::Cell<tokio::time::Instant>,
     held: cell::Cell<u64>,
-    pace: cell::Cell<Pace>,
+    pace: cell::Cell<pace::Pace>,
     /// Set with what it held, once it is to end.
     ended: cell::Cell<Option<u64>>,
     end: sync::Notify,
@@ -150,7 +148,7 @@
             stage: cell::Cell::new(Stage::New),
             since: cell::Cell::new(now),
             held: cell::Cell::new(0),
-            pace: cell::Cell::new(Pace::start(now)),
+            pace: cell::Cell::new(pace::Pace::start(now)),
             ended: cell::Cell::new(None),
             end: sync::Notify::new(),
         });
@@ -262,7 +260,7 @@
         let is_new = self.entry.stage.replace(stage) != stage;
         if is_new {
             self.entry.since.set(now);
-            self.entry.pace.set(Pace::start(now));
+            self.entry.pace.set(pace::Pace::start(now));
         }
         is_new
     }
@@ -330,41 +328,3 @@
         self.pace.get().rate(now)
     }
 }
-
-/// How fast a message has come or gone lately.
-#[derive(Debug, Clone, Copy)]
-struct Pace {
-    /// Number of bytes so far.
-    moved: rate::Bytes,
-    /// Number of bytes, of which those count less that are longer ago.
-    recent: f64,
-    at: tokio::time::Instant,
-}
-
-impl Pace {
-    fn start(now: tokio::time::Instant) -> Self {
-        Self {
-            moved: rate::Bytes(0),
-            recent: HEAD_START.0 as f64,
-            at: now,
-        }
-    }
-
-    fn moved(self, moved: rate::Bytes, now: tokio::time::Instant) -> Self {
-        let new = moved.0.saturating_sub(self.moved.0);
-        Self {
-            moved,
-            recent: self.recent(now) + new as f64,
-            at: now,
-        }
-    }
-
-    fn recent(self, now: tokio::time::Instant) -> f64 {
-        let span = (now - self.at).as_secs_f64();
-        self.recent * (-span / PACE_TIME.as_secs_f64()).exp()
-    }
-
-    fn rate(self, now: tokio::time::Instant) -> rate::BytesPerSecond {
-        rate::BytesPerSecond(self.recent(now) / PACE_TIME.as_secs_f64())
-    }
-}
--- a/crates/geraniumgauge/src/memory/mod.rs
+++ b/crates/geraniumgauge/src/memory/mod.rs
@@ -68,6 +68,12 @@
         rate::Bytes(self.shared.used.load(atomic::Ordering::Relaxed))
     }
 
+    /// Returns whether a large holder may take so many bytes more.
+    pub fn has_room_for(&self, bytes: rate::Bytes) -> bool {
+        let limit = self.shared.limit.0;
+        self.used().0.saturating_add(bytes.0) <= limit - limit / SMALL_PART
+    }
+
     /// Returns the size of the budget.
     pub fn limit(&self) -> rate::Bytes {
         self.shared.limit
