Edge: a request whose connection has been told to end doesn't run

Found on reading: a request could become whole between the moment in which its connection was chosen to make room and that in which its task saw so; it would run, and its answer be cut. It is refused as not run instead. The new test shows the refusal in the middle of a body; it holds without this change too, as a test can't make both come at once.

--- a/crates/geraniumgauge/src/edge/caller/receive.rs
+++ b/crates/geraniumgauge/src/edge/caller/receive.rs
@@ -130,6 +130,8 @@
         }
         self.running_head = request.head.capacity();
         match self.charge_with_room().await {
+            // Its answer would be cut off.
+            Ok(()) if self.place.is_ended() => Next::Ended(request.id),
             Ok(()) => Next::Request(request),
             Err(exhausted) => self.out_of_memory(request.id, exhausted),
         }
--- a/crates/geraniumgauge/src/edge/places.rs
+++ b/crates/geraniumgauge/src/edge/places.rs
@@ -70,6 +70,7 @@
     ending: cell::Cell<usize>,
     /// What ended connections still hold.
     ending_held: cell::Cell<u64>,
+    /// The turns of requests that are large to decode.
     large: sync::Semaphore,
 }
 
@@ -281,9 +282,14 @@
         pace.set(pace.get().moved(moved, now));
     }
 
+    /// Returns whether the connection is to end.
+    pub(super) fn is_ended(&self) -> bool {
+        self.entry.ended.get().is_some()
+    }
+
     /// Waits until the connection is to end.
     pub(super) async fn ended(&self) {
-        if self.entry.ended.get().is_none() {
+        if !self.is_ended() {
             self.entry.end.notified().await;
         }
     }
--- a/crates/geraniumgauge/src/edge/tests/caller.rs
+++ b/crates/geraniumgauge/src/edge/tests/caller.rs
@@ -140,3 +140,31 @@
         assert_eq!(budget.used(), rate::Bytes(0));
     });
 }
+
+/// Guards against a refusal without an id, or a request that runs, where a connection ends in the
+/// middle of a body to make room for others.
+#[test]
+fn a_request_that_ends_for_others_doesnt_run() {
+    world::run(async {
+        let engine = engine();
+        engine.set_registrations_listed();
+        engine.configure(config(1, rate::Bytes(1024)));
+        let mut stream = connect(&engine).await;
+        let request =
+            "POST / HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r8\r\nContent-Length: 2\r\n\r\n";
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("an open connection");
+        stream.write_all(b"b").await.expect("an open connection");
+        while engine.places().budget().used() == rate::Bytes(0) {
+            tokio::task::yield_now().await;
+        }
+        // Both at once: the rest of the body, and the need for its place.
+        stream.write_all(b"b").await.expect("an open connection");
+        let all = engine.capacity().connections;
+        let others: Vec<_> = (0..all).map_while(|_| engine.places().enter()).collect();
+        assert_eq!(others.len(), all);
+        let answer = read_all(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("x-request-id: r8\r\n"), "{answer}");
+    });
+}
