--- a/crates/geraniumgauge/src/edge/places.rs
+++ b/crates/geraniumgauge/src/edge/places.rs
@@ -47,9 +47,13 @@
 /// The order in which connections end when there are too many; the first ones go first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
+    /// A request that has been arriving for [`SLOW_AFTER`], or hasn't begun to.
     SlowRequest,
+    /// An answer that has been going for as long.
     SlowAnswer,
+    /// A connection between two requests: its caller loses least.
     Idle,
+    /// A request or an answer that may still be quick.
     Recent,
 }
 
@@ -61,6 +65,7 @@
 
 #[derive(Debug)]
 struct Shared {
+    /// Maximum number of connections, without those that are ending.
     max: usize,
     budget: memory::Budget,
     overload: overload::Overload,
@@ -85,7 +90,9 @@
 #[derive(Debug)]
 struct Entry {
     stage: cell::Cell<Stage>,
+    /// When the stage began.
     since: cell::Cell<tokio::time::Instant>,
+    /// Bytes of the budget that ending the connection frees.
     held: cell::Cell<u64>,
     pace: cell::Cell<pace::Pace>,
     /// Set with what it held, once it is to end.
